Broken connections are no sign of load or death; a cut of a server's chance costs less than what it spares

Now: (1) resets and failed dials cut the origin's limits only from six in a row; (2) a death is three refused connections in a row, resets no longer count towards it; (3) a connection that breaks within half the aim is asked again in place while attempts last, a fetch that broke before its answer began goes out again as the same call; (4) events carry `waited`, `fresh` and `begun`: the wait for a connection and a slow first answer (up to twice the aim) judge nobody; (5) a cut is 0.7 with a rise of 0.1: one late answer costs 0.8 refusals and not 5. The tests over sockets and of the module fail on the old module (seen).

--- a/beacongw/interface.py
+++ b/beacongw/interface.py
@@ -197,6 +197,12 @@
     latency: int
     note: CacheNote | None = None
     load: tuple[float, ...] | None = None
+    waited: int = 0
+    """The part of `latency` before the request was written: for a connection, or for its dial."""
+    fresh: bool = False
+    """It was the first on its connection, which takes longer whatever the server's load."""
+    begun: bool = False
+    """Some of an answer had come: the attempt ran."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -33,14 +33,15 @@
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 BAD_SAMPLES, BAD_SHARE = 8, 0.2  # smoothing of the share of bad fetches; two in a row, or one in five, cut
-PASS_CUT, PASS_RISE, PASS_FLOOR = 0.25, 0.2, 0.05  # a chance: cut by a late answer, raised by a good one
+PASS_CUT, PASS_RISE, PASS_FLOOR = 0.7, 0.1, 0.05  # a chance: cut by a late answer, raised by a good one
+QUICK_AIM = 0.5  # a connection that breaks within that part of the aim has cost no time to speak of
 PATIENCE_AIM, PATIENCE_PACE = 0.5, 5.0  # lost after that part of the aim, and of the usual time
 BUDGET_SHARE, BUDGET_MOST = 0.01, 4.0  # of attempts may be taken for lost, and so many at once
 STRAIN = 0.1  # smoothed share of servers met that are over their load, past which nothing is sent twice
 ALONE = 0.3  # the same, past which it is nothing of a server's own that it answers nothing
-# What counts a server as dead, in a row: failed connections of which the last was refused, resets, errors,
-# attempts with no answer to anything meanwhile.
-STRIKES, RESETS, ERRORS, MUTE = 2, 6, 4, 3
+# What counts a server as dead, in a row: refused connections, resets, errors, attempts with no answer to
+# anything meanwhile.
+STRIKES, RESETS, ERRORS, MUTE = 3, 6, 4, 3
 REGAIN = 60 * NS_PER_S  # time in which a chance comes back by itself, where answers are too few to bring it
 DEAD = -0.02  # the chance after a refused connection: none for that part of REGAIN, then trials
 
@@ -53,7 +54,8 @@
         self.weight = entry.weight if weighted else 1.0  # the list's, where that means size
         self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
         self.down = False  # refuses connections, and no good answer since
-        self._strikes = 0  # connections that failed since the last answer
+        self._refused = 0  # connections in a row that never came up
+        self._resets = 0  # connections that broke under a request since the last answer
         self._errors = 0  # errors in a row: one that answers nothing else is of no use, however quick
         self._mute = 0  # attempts in a row during which it answered nothing
         self._answered = 0  # when it last did
@@ -67,19 +69,21 @@
     def judge(self, outcome: Outcome, late: bool, now: int, sent: int = 0, alone: bool = False) -> None:
         """Learn from an attempt's end; `alone`: the other servers are well.
 
-        Danger: one connection that breaks is everyday (an idle close that crosses a request, a full
-        table); to take it for a death sends a server's whole share to the origin. A dead process refuses
-        the next connection, and a machine that is gone, or a process that hangs, answers nothing at all.
-        It could do harm when so many servers are slow that ours get no answer: hence `alone`.
+        Danger: connections that break are everyday (an idle close that crosses a request, a full table, a
+        new one reset as it comes up), and a reset is often followed by one; to take them for a death sends
+        a server's whole share to the origin. A dead process refuses every connection, and a machine that
+        is gone, or a process that hangs, answers nothing at all. It could do harm when so many servers are
+        slow that ours get no answer: hence `alone`.
         """
         chance = self.chance(now)
         broke, mute = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET), outcome is Outcome.TIMEOUT
         if not broke and not mute:
             self._answered = now
-        self._strikes = self._strikes + 1 if broke else 0
+        self._refused = self._refused + 1 if outcome is Outcome.CONNECT_FAILED else 0
+        self._resets = (self._resets + (outcome is Outcome.RESET)) * broke
         self._errors = self._errors + 1 if outcome is Outcome.ERROR else 0
         self._mute = (self._mute + mute) * (self._answered <= sent)
-        dead = self._strikes >= (STRIKES if outcome is Outcome.CONNECT_FAILED else RESETS)
+        dead = self._refused >= STRIKES or self._resets >= RESETS
         dead = dead or self._errors >= ERRORS or (self._mute >= MUTE and alone)
         if dead or (self.down and (broke or mute)):
             chance, self.down = DEAD, True
@@ -243,7 +247,7 @@
         self.failed: list[Node] = []
         self.node: Node | None = None
         self.ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
-        self.spared = False  # has had a second try where its answer was lost on the way
+        self.spared = False  # has been asked for again after an answer that stayed out
         self.patience = 0  # after which the attempt that is out counts as lost; 0: not at all
         self.fetching = self.out = self.leads = self.waiting = self.done = False
 
@@ -287,6 +291,7 @@
         self._strain = 0.0
         self._budget = BUDGET_MOST  # attempts that may be taken for lost by their time
         self._origin_bad = 0.0  # smoothed share of bad fetches
+        self._origin_broke = 0  # its connections that broke since its last answer
         self._asking, self._failed_calls = False, 0
         self._now = 0
         self._actions: list[api.Action] = []
@@ -414,7 +419,8 @@
             flight.append(request)
             self._wait(request, request.deadline - self._now)
 
-    def _fetch(self, request: Request) -> None:
+    def _fetch(self, request: Request, again: bool = False) -> None:
+        """Ask the origin, if it may be; `again`: for a call that is admitted and counted already."""
         request.waiting = False
         origins = self._origins.rank(request.slot, self._now)
         if not origins or not self._may_try(request) or not request.may_send(origins[0], self._now):
@@ -426,10 +432,10 @@
             return
         if request.write:
             request.guard.count(self._now)
-        elif not request.guard.admit(self._now):
+        elif not again and not request.guard.admit(self._now):
             self._give_up(request)
             return
-        if request.key is not None and not request.write:
+        if request.key is not None and not request.write and not request.leads:
             self._flights[request.key] = []
             request.leads = True
         request.fetching = True
@@ -442,37 +448,55 @@
         node, fetched, outcome = request.node, request.fetching, event.outcome
         request.out = request.fetching = False
         node.load -= 1
-        late = event.latency > request.cls.aim
+        took = event.latency - event.waited
+        late = took > request.cls.aim
+        # Danger: the first request on a connection bears the cost of setting it up, most of all across zones.
+        # To take that for load sheds a well server, whenever connections are short-lived. It could do harm
+        # where all are so short-lived that no other answer comes: then only twice the aim tells.
+        unsure = event.fresh and took <= 2 * request.cls.aim
         lost = outcome in (Outcome.SPOILT, Outcome.RESET)
+        broke = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        quick = broke and event.latency <= request.cls.aim * QUICK_AIM
         if outcome is Outcome.TIMEOUT and request.patience and self._now < request.deadline:
             self._budget -= 1
             lost = True
         elif outcome in (Outcome.OK, Outcome.MISS):
             self._budget = min(BUDGET_MOST, self._budget + BUDGET_SHARE)
-            node.pace += (event.latency - node.pace) / 16 if node.pace else event.latency
+            if not event.fresh:
+                node.pace += (took - node.pace) / 16 if node.pace else took
         if not fetched:
             # A time-out before the deadline is one of our own patience, and no sign of load.
-            slow = not lost if outcome is Outcome.TIMEOUT else late
+            slow = not lost if outcome is Outcome.TIMEOUT else late and not unsure
             node.judge(outcome, slow, self._now, request.sent_at, self._strain <= ALONE)
-        elif not lost or (outcome is Outcome.RESET and request.spared):
-            self._judge_fetch(node, event, late)  # one answer that was lost says nothing of the origin's load
+        else:
+            self._judge_fetch(node, event, late and not unsure, lost)
         if not outcome.never_ran and request.ran is None:
             request.ran = node, request.sent_at
         if event.closed or request.done:
             self._finish(request, stored=fetched and outcome is Outcome.OK)
         elif outcome is Outcome.MISS and not fetched and self._settings.origin_kind is not None:
             self._missed(request)
-        elif lost and not request.spared:
-            self._lost_on_the_way(request, fetched)
+        elif quick or (lost and not request.spared):
+            request.spared = request.spared or not quick
+            self._lost_on_the_way(request, event, fetched)
         elif fetched:
             self._fetch_failed(request, outcome)
         else:
             request.failed.append(node)
             self._route(request)
 
-    def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool) -> None:
-        """Rise while the origin answers well; on failures cut the tenants over their portion first."""
-        if event.outcome is Outcome.OK and not late:
+    def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool, lost: bool) -> None:
+        """Rise while the origin answers well; on failures cut the tenants over their portion first.
+
+        Danger: a broken connection, or an answer that was lost, is no sign of load. To cut for it starves
+        every tenant while the origin is idle, and what is not fetched is missed anew. It could do harm with
+        an origin that resets what it can't take: hence so many in a row, with no answer between, do count.
+        """
+        broke = event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        self._origin_broke = self._origin_broke + 1 if broke else 0
+        if (broke or lost) and self._origin_broke < RESETS:
+            pass
+        elif event.outcome is Outcome.OK and not late:
             self._origin_bad -= self._origin_bad / BAD_SAMPLES
             self._origin_time += (event.latency - self._origin_time) / 16
             self._width += 1 / self._width
@@ -495,19 +519,26 @@
             if waiter.waiting:
                 self._fetch(waiter)
 
-    def _lost_on_the_way(self, request: Request, fetched: bool) -> None:
-        """Departure: an answer that was lost is asked for once more where it was made.
+    def _lost_on_the_way(self, request: Request, event: api.AttemptEnded, fetched: bool) -> None:
+        """Departure: what was lost with its connection is asked for again where it was sent.
 
-        The slot's server still holds the key, where the next-ranked one would miss and cost a fetch; what
-        the origin answered is by now stored at the server that missed; a write's repeat is dropped there.
+        The slot's server still holds the key, where the next-ranked one would miss and cost a fetch; a
+        write's repeat is dropped there. A fetch that broke before its answer began has stored nothing, and
+        goes out again as the same call; what answered otherwise is by now stored where it missed. A quick
+        break is bounded by the attempts and by the server's being left out, and has cost nothing; all else
+        is asked for once more. It could do harm to a server that breaks what overloads it: it gets a read
+        up to four times, until six in a row leave it out.
         """
-        request.spared = True
-        if fetched and request.write:
-            self._fetch(request)
-            return
-        if request.leads:
-            self._land(request, stored=True)
-        self._route(request)
+        if not fetched:
+            self._route(request)
+        elif request.write and event.outcome is Outcome.CONNECT_FAILED:
+            self._fetch_failed(request, event.outcome)  # it can wait, and an origin that restarts needs time
+        elif request.write or (event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET) and not event.begun):
+            self._fetch(request, again=True)
+        else:
+            if request.leads:
+                self._land(request, stored=True)
+            self._route(request)
 
     def _fetch_failed(self, request: Request, outcome: Outcome) -> None:
         """A write is tried again after a pause; a read is the client's to retry, to spare the origin."""
--- a/holdpick/router.py
+++ b/holdpick/router.py
@@ -72,6 +72,7 @@
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
         self._number = request.attempts
         self._sent_at = time.monotonic_ns()
+        self._written_at = 0  # 0: not yet
         self._timer: asyncio.TimerHandle | None = None
         request.attempts += 1
         request.out += 1
@@ -86,6 +87,7 @@
     def request_bytes(self, address: Address) -> bytes:
         """The client's command again, with what is left of its time."""
         command = self._request.command
+        self._written_at = time.monotonic_ns()
         if self._to_origin:
             method = "GET" if command.value is None else "PUT"
             headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, command.info)
@@ -110,10 +112,19 @@
         if outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
             reply.send(resp.bulk(value))
-        latency = time.monotonic_ns() - self._sent_at
-        load = self._host.load(report)
+        now = time.monotonic_ns()
         event = AttemptEnded(
-            request.id, self._number, self._server, outcome, request.closed, latency, note, load
+            request.id,
+            self._number,
+            self._server,
+            outcome,
+            request.closed,
+            latency=now - self._sent_at,
+            note=note,
+            load=self._host.load(report),
+            waited=(self._written_at or now) - self._sent_at,
+            fresh=self.fresh,
+            begun=self.begun,
         )
         self._host.settle(request)
         self._host.tell(event)
--- a/holdpick/upstream.py
+++ b/holdpick/upstream.py
@@ -26,6 +26,8 @@
     connection: Connection | None = None
     over = False
     is_probe = False
+    fresh = False  # the first one on its connection
+    begun = False  # some of its answer has come
 
     @abstractmethod
     def request_bytes(self, address: Address) -> bytes:
@@ -73,6 +75,7 @@
         self.idle_since = 0.0
         self.unsent = False  # the kernel has not taken the last byte of the request yet
         self.retired = False
+        self._used = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -96,6 +99,7 @@
         """Send the exchange's request."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
+        exchange.fresh, self._used = not self._used, True
         self.transport.write(exchange.request_bytes(self.server.address))
 
     def close(self) -> None:
@@ -131,6 +135,7 @@
             if self.usable:
                 self.spoil("sent an answer that nobody asked for")
             return
+        self.exchange.begun = True
         try:
             self.answer_came(data)
         except Exception:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,10 +15,10 @@
 import uvloop
 
 import holdpick.__main__ as program
-from beacongw import RequestClass
-from holdpick import clients
+from beacongw import Action, AttemptEnded, Event, Outcome, RequestClass, Router
+from holdpick import clients, upstream
 from holdpick.config import Config, load_config
-from tests.helpers import S, settings
+from tests.helpers import MS, S, settings
 from tests.peers import LIMIT_S, Agent, Cache, Node, Origin, command, entry, read
 
 HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
@@ -112,6 +112,95 @@
     run(test)
 
 
+def test_a_connection_that_breaks_twice_is_no_reason_to_ask_another_server() -> None:
+    # Found in issue 5: the second loss went to the next-ranked server, which missed and cost a fetch.
+    async def test() -> None:
+        answers: list[bytes | None] = [None, None, HIT] * 9
+
+        async def answer(_: list[bytes]) -> bytes | None:
+            return answers.pop(0)
+
+        caches, node = [Cache(answer) for _ in range(3)], Node()
+        for cache in caches:
+            await cache.start()
+        await node.start(*(entry(f"s{i}", cache.port) for i, cache in enumerate(caches)))
+        for i in range(9):
+            assert await node.ask(read(f"r{i}", f"k{i}"), len(SERVED)) == SERVED
+        asked = [{words[2] for words in cache.seen} for cache in caches]
+        assert sum(len(ids) for ids in asked) == 9  # each request at one server only
+        assert sum(len(cache.seen) for cache in caches) == 27
+        node.stop()
+        for cache in caches:
+            cache.stop()
+
+    run(test)
+
+
+def test_broken_connections_to_the_origin_starve_no_tenant() -> None:
+    # Found in issue 5: they cut every tenant's limit while the origin was idle, or had the read given up.
+    async def test() -> None:
+        async def answer(_: list[bytes]) -> bytes:
+            return MISS
+
+        cache, origin, node = Cache(answer), Origin(PAGE), Node()
+        await cache.start()
+        await origin.start()
+        await node.start(entry("s1", cache.port), entry("o1", origin.port, "origin"))
+        for i in range(300):
+            origin.breaks = 2
+            assert await node.ask(read(f"r{i}", f"k{i}"), len(SERVED)) == SERVED
+        assert (origin.seen, len(cache.seen)) == (900, 300)
+        node.stop()
+        cache.stop()
+        origin.stop()
+
+    run(test)
+
+
+def test_the_module_is_told_what_only_the_sockets_know(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Found in issue 5: the wait for a connection, and its slow first answer, were taken for the server's.
+    told: list[AttemptEnded] = []
+    handle = Router.handle
+
+    def spy(router: Router, event: Event, now: int) -> list[Action]:
+        if isinstance(event, AttemptEnded):
+            told.append(event)
+        return handle(router, event, now)
+
+    monkeypatch.setattr(Router, "handle", spy)
+    monkeypatch.setattr(upstream, "PER_SERVER", 1)
+
+    async def test() -> None:
+        asked, go = asyncio.Event(), asyncio.Event()
+        answers = [HIT, HIT, HIT[:9]]
+
+        async def answer(_: list[bytes]) -> bytes | None:
+            asked.set()
+            await go.wait()
+            return answers.pop(0) if answers else None
+
+        cache, node = Cache(answer), Node()
+        await cache.start()
+        await node.start(entry("s1", cache.port))
+        first = asyncio.create_task(node.ask(read("r1"), len(SERVED)))
+        await asyncio.wait_for(asked.wait(), LIMIT_S)
+        second = asyncio.create_task(node.ask(read("r2", "other"), len(SERVED)))
+        while len(node.host._requests) < 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        go.set()
+        assert await first == await second == SERVED
+        assert [(event.fresh, event.begun) for event in told] == [(True, True), (False, True)]
+        assert told[1].waited > 40 * MS
+        third = asyncio.create_task(node.ask(read("r3", wait=250), 7))
+        assert await third == b"-BUSY\r\n"
+        assert [(event.outcome, event.begun) for event in told[2:]] == [(Outcome.TIMEOUT, True)]
+        node.stop()
+        cache.stop()
+
+    run(test)
+
+
 BAD = [
     b"\x16\x03\x01noise\r\n",
     b"k" * 100_000,
