--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -44,8 +44,8 @@
 STRIKES, RESETS, ERRORS, MUTE = 3, 6, 4, 3
 # A server's share of its slots falls with each request while its smoothed share of late, full or missing
 # answers is over the first, and that of the next-ranked server under the second; it comes back in time.
-BAD_ANSWERS, LEAN_BAD, LEAN_WELL = 16, 0.2, 0.1
-LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 8, 0.04, 20 * NS_PER_S
+BAD_ANSWERS, LEAN_BAD, LEAN_WELL = 32, 0.25, 0.1
+LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 16, 0.04, 20 * NS_PER_S
 REGAIN = 60 * NS_PER_S  # time in which a chance comes back by itself, where answers are too few to bring it
 DEAD = -0.02  # the chance after a refused connection: none for that part of REGAIN, then trials
 
@@ -66,24 +66,21 @@
         self.pace = 0.0  # smoothed latency of answers
         self._chance, self._since = 1.0, 0
         self.bad = 0.0  # smoothed share of answers that are late, full or missing
-        self._share, self._leant = 1.0, 0  # the part of its slots that it keeps, and when that last fell
-
-    def share(self, now: int) -> float:
-        """The part of its slots that it keeps."""
-        if self._share >= 1.0:
-            return 1.0
-        return min(1.0, self._share + (now - self._leant) / LEAN_REGAIN)
+        self.share, self._shared_at = 1.0, 0  # the part of its slots that it keeps, and as of when
 
     def keeps(self, slot: int, now: int) -> bool:
         """Whether it keeps this slot; the same ones go first at every router, and come back last."""
-        if self._share >= 1.0:
+        if self.share >= 1.0:
             return True
-        return ((slot ^ self.seed >> 24) * 0x9E3779B1 >> 8 & 0xFFFF) < self.share(now) * 0x10000
+        if self.bad < LEAN_WELL:
+            self.share = min(1.0, self.share + (now - self._shared_at) / LEAN_REGAIN)
+        self._shared_at = now
+        return ((slot ^ self.seed >> 24) * 0x9E3779B1 >> 8 & 0xFFFF) < self.share * 0x10000
 
     def lean(self, now: int) -> None:
         """Give up some of the slots: a request met it over its load, and another server could take it."""
         much = LEAN * (self.bad - LEAN_BAD)
-        self._share, self._leant = max(self.share(now) * (1.0 - much), LEAN_FLOOR), now
+        self.share, self._shared_at = max(self.share * (1.0 - much), LEAN_FLOOR), now
 
     def chance(self, now: int) -> float:
         """The chance now; 0 or less for a while after a refused connection."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -559,8 +559,10 @@
     node = router._caches.nodes[fleet(6)[0].id]
     moved = [slot for slot in range(200) if not node.keeps(slot, 3 * S)]
     other = started(settings(tenants=()), fleet(6), seed=9)._caches.nodes[node.entry.id]
-    other._share, other._leant = node.share(3 * S), 3 * S
+    other.share, other._shared_at, other.bad = node.share, 3 * S, 1.0
     assert moved == [slot for slot in range(200) if not other.keeps(slot, 3 * S)]  # the same at every router
+    for _ in range(100):
+        node.judge(Outcome.OK, False, 3 * S)
     assert all(node.keeps(slot, 24 * S) for slot in range(200))
     router, _, _ = play({server.id for server in fleet(6)})  # all are slow: none gives to another
-    assert {node.share(3 * S) for node in router._caches.nodes.values()} == {1.0}
+    assert {node.share for node in router._caches.nodes.values()} == {1.0}
