Answers that vanish judge nobody; shorter windows for busy tenants; FULL costs a server less of its chance

Now a time-out during which its server answered others in its usual time, under half the aim, judges nobody; what is asked again and promptly answered gives its place in the budget back. A tenant of over 80 calls a second now has a window for 400 calls, 1.5 s at the least. The tests of the module and over sockets fail without the change (seen).

--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -28,15 +28,19 @@
 CHANCE_CACHED = NS_PER_S // 10  # the paper's default
 WINDOW_CALLS = 8  # calls that a window should be able to hold at the generous limit
 WINDOW_MIN_S, WINDOW_MAX_S = 5.0, 20.0  # long enough to count, short enough to forget a spike
+# A busier tenant's window is shorter, for so many calls: after a cut it is over its limit for a part of it.
+WINDOW_BUSY_CALLS, WINDOW_BUSY_S = 400, 1.5
 UNSTATED_LIMIT = 1000.0  # generous start for all routers together where no quota is stated
 CUT, RISE_S = 0.7, 15.0  # one cut's factor; seconds in which a used limit rises from nothing to its cap
 HEAT_SHARE = 0.25  # part of a server's fair load that one slot may bring before it is spread
 HEAT_MEMORY = 1024  # requests after which counts are halved: many servers' worth, yet seconds when busy
 BAD_SAMPLES, BAD_SHARE = 8, 0.2  # smoothing of the share of bad fetches; two in a row, or one in five, cut
 PASS_CUT, PASS_RISE, PASS_FLOOR = 0.7, 0.05, 0.05  # a chance: cut by a late answer, raised by a good one
+FULL_CUT = 0.85  # the same by one that says full: it took next to nothing from the server
 QUICK_AIM = 0.5  # a connection that breaks within that part of the aim has cost no time to speak of
 PATIENCE_AIM, PATIENCE_PACE = 0.5, 5.0  # lost after that part of the aim, and of the usual time
 BUDGET_SHARE, BUDGET_MOST = 0.01, 4.0  # of attempts may be taken for lost, and so many at once
+LOST_PACE = 4.0  # an answer that is out for so many usual times, while others come, is lost
 STRAIN = 0.1  # smoothed share of servers met that are over their load, past which nothing is sent twice
 ALONE = 0.3  # the same, past which it is nothing of a server's own that it answers nothing
 # What counts a server as dead, in a row: refused connections, resets, errors, attempts with no answer to
@@ -62,7 +66,7 @@
         self._resets = 0  # connections that broke under a request since the last answer
         self._errors = 0  # errors in a row: one that answers nothing else is of no use, however quick
         self._mute = 0  # attempts in a row during which it answered nothing
-        self._answered = 0  # when it last did
+        self.answered = 0  # when it last did
         self.pace = 0.0  # smoothed latency of answers
         self._chance, self._since = 1.0, 0
         self.bad = 0.0  # smoothed share of answers that are late, full or missing
@@ -97,12 +101,10 @@
         """
         chance = self.chance(now)
         broke, mute = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET), outcome is Outcome.TIMEOUT
-        if not broke and not mute:
-            self._answered = now
         self._refused = self._refused + 1 if outcome is Outcome.CONNECT_FAILED else 0
         self._resets = (self._resets + (outcome is Outcome.RESET)) * broke
         self._errors = self._errors + 1 if outcome is Outcome.ERROR else 0
-        self._mute = (self._mute + mute) * (self._answered <= sent)
+        self._mute = (self._mute + mute) * (self.answered <= sent)
         dead = self._refused >= STRIKES or self._resets >= RESETS
         dead = dead or self._errors >= ERRORS or (self._mute >= MUTE and alone)
         if dead or (self.down and (broke or mute)):
@@ -110,7 +112,7 @@
         elif broke or (mute and (not late or (self._mute and alone))):
             pass  # the next ones tell
         elif late or mute or outcome is Outcome.FULL:
-            chance = max(chance * PASS_CUT, PASS_FLOOR)
+            chance = max(chance * (FULL_CUT if outcome is Outcome.FULL else PASS_CUT), PASS_FLOOR)
             self.bad += (1.0 - self.bad) / BAD_ANSWERS
         elif outcome in (Outcome.OK, Outcome.MISS):
             chance, self.down = min(1.0, chance + PASS_RISE), False
@@ -205,7 +207,8 @@
     def __init__(self, tenant: api.Tenant, routers: int, rng: random.Random) -> None:
         self.portion, self.excess = tenant.portion, 1.0  # excess: (share of requests here / portion) squared
         self.cap = self.limit = (tenant.quota_per_s or UNSTATED_LIMIT) / routers
-        self.window_s = min(max(WINDOW_CALLS / self.cap, WINDOW_MIN_S), WINDOW_MAX_S)
+        least = min(max(WINDOW_BUSY_CALLS / self.cap, WINDOW_BUSY_S), WINDOW_MIN_S)
+        self.window_s = min(max(WINDOW_CALLS / self.cap, least), WINDOW_MAX_S)
         self.floor = min(1 / self.window_s, self.cap)  # one call a window: with none counted a fetch goes
         self._calls: deque[tuple[int, bool]] = deque()  # when, and whether declined
         self.declined = 0
@@ -496,11 +499,18 @@
         lost = outcome in (Outcome.SPOILT, Outcome.RESET)
         broke = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
         quick = broke and event.latency <= request.cls.aim * QUICK_AIM
-        if outcome is Outcome.TIMEOUT and request.patience and self._now < request.deadline:
-            self._budget -= 1
-            lost = True
-        elif outcome in (Outcome.OK, Outcome.MISS):
-            self._budget = min(BUDGET_MOST, self._budget + BUDGET_SHARE)
+        if outcome is Outcome.TIMEOUT:
+            early = bool(request.patience) and self._now < request.deadline
+            self._budget -= early
+            lost = early or self._vanished(node, request, took)
+            if lost and not early:
+                self._budget = min(BUDGET_MOST, self._budget + 1)
+        elif not broke:
+            node.answered = self._now
+        if outcome in (Outcome.OK, Outcome.MISS):
+            # A prompt answer to what was asked again shows that the first one was lost.
+            proof = request.spared and took <= request.cls.aim * PATIENCE_AIM
+            self._budget = min(BUDGET_MOST, self._budget + (1.0 if proof else BUDGET_SHARE))
             if not event.fresh:
                 node.pace += (took - node.pace) / 16 if node.pace else took
         if not fetched:
@@ -524,6 +534,16 @@
             request.failed.append(node)
             self._route(request)
 
+    def _vanished(self, node: Node, request: Request, took: int) -> bool:
+        """Whether an answer that never came was lost on the way, and says nothing of its server's load.
+
+        Danger: a connection or a single request can fall silent at a well server, and to shed the server for
+        it refuses a hundred times what was lost. A server over its load answers others late, which tells by
+        itself, so it could do harm only where one kind of request is slow: its lateness then tells nothing.
+        """
+        usual = 0 < node.pace * LOST_PACE < took and node.pace < request.cls.aim * PATIENCE_AIM
+        return usual and node.answered > request.sent_at
+
     def _judge_fetch(self, node: Node, event: api.AttemptEnded, late: bool, lost: bool) -> None:
         """Rise while the origin answers well; on failures cut the tenants over their portion first.
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -157,6 +157,38 @@
     run(test)
 
 
+def test_requests_that_get_no_answer_shed_no_server_that_answers_others() -> None:
+    # Found in incident r02ff52: a few silent requests had the servers of all others refuse them.
+    async def test() -> None:
+        came = asyncio.Semaphore(0)
+
+        async def answer(words: list[bytes]) -> bytes:
+            if words[2].startswith(b"lost"):
+                came.release()
+                await asyncio.sleep(LIMIT_S)
+            return HIT
+
+        cache, node = Cache(answer), Node()
+        await cache.start()
+        await node.start(entry("s1", cache.port))
+        for i in range(3):
+            assert await node.ask(read(f"first{i}"), len(SERVED)) == SERVED
+        lost = [asyncio.create_task(node.ask(read(f"lost{i}", wait=400), 7)) for i in range(8)]
+        for _ in lost:
+            await asyncio.wait_for(came.acquire(), LIMIT_S)
+        asked = 0
+        while not all(task.done() for task in lost):
+            assert await node.ask(read(f"while{asked}"), 7) == SERVED[:7]
+            asked += 1
+        assert [await task for task in lost] == [b"-BUSY\r\n"] * 8
+        for i in range(60):
+            assert await node.ask(read(f"r{i}"), 7) == SERVED[:7]
+        node.stop()
+        cache.stop()
+
+    run(test)
+
+
 def test_the_module_is_told_what_only_the_sockets_know(monkeypatch: pytest.MonkeyPatch) -> None:
     # Found in issue 5: the wait for a connection, and its slow first answer, were taken for the server's.
     told: list[AttemptEnded] = []
