A server is shed where more than usual is out there, less where nothing is

Now the chance counts with a power of 0.25 with nothing of our own out there, 1 at the usual number, 2 at most; the chance itself still finds its level by the late answers.

--- a/beacongw/logic.py
+++ b/beacongw/logic.py
@@ -59,6 +59,7 @@
 
     def __init__(self, entry: api.Server, weighted: bool) -> None:
         self.entry, self.load = entry, 0
+        self.usual_load = 0.0  # smoothed own attempts out when one more was sent
         self.weight = entry.weight if weighted else 1.0  # the list's, where that means size
         self.seed = int.from_bytes(blake2b(entry.id.encode(), digest_size=8).digest(), "big")
         self.down = False  # refuses connections, and no good answer since
@@ -385,6 +386,7 @@
     def _send(self, request: Request, node: Node) -> None:
         request.sends += 1
         request.node, request.sent_at, request.out = node, self._now, True
+        node.usual_load += (node.load - node.usual_load) / 32
         node.load += 1
         request.patience = self._patience(request, node)
         self._actions.append(api.Send(request.id, node.entry.id, request.patience))
@@ -420,7 +422,11 @@
             if node.bad > LEAN_BAD and not node.down:
                 self._lean(node, keepers[i + 1 :])
             # Tenants over their portion are shed first, those well within it last.
-            if chance >= 1.0 or (chance > 0 and self._rng.random() < chance**request.guard.excess):
+            # A server is shed where more than usual is out there, which is when its queue is long.
+            crowd = min(0.25 + 0.75 * node.load / max(node.usual_load, 0.25), 2.0)
+            if chance >= 1.0 or (
+                chance > 0 and self._rng.random() < chance ** (request.guard.excess * crowd)
+            ):
                 self._send(request, node)
                 return
             if not node.down:  # over its load: another server would miss, unless the slot moves for good
