--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Every target sets up what it needs on a fresh clone.
+.PHONY: rehearse test bench setup
+
+PY := .venv/bin/python
+SCENARIO ?= release-morning
+
+rehearse: .venv/ready
+	.venv/bin/holdgw rehearse $(SCENARIO) --html rehearsal.html
+
+test: .venv/ready
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+	$(PY) -m pytest -q
+
+bench: .venv/ready
+	$(PY) -m bench.router_core
+
+setup: .venv/ready
+
+.venv/ready: requirements.txt requirements-tools.txt requirements-dev.txt pyproject.toml
+	test -x $(PY) || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements-dev.txt
+	.venv/bin/pip -q install --no-deps -e .
+	touch $@
--- a/beacongw/__init__.py
+++ b/holdgw/policy/__init__.py
@@ -1,6 +1,6 @@
-"""beacongw: the decisions of a proxy that spreads keys over cache servers in front of one slow origin."""
+"""The decisions of holdgw: a router that spreads keys over cache servers in front of one slow origin."""
 
-from beacongw.interface import (
+from holdgw.policy.interface import (
     Action,
     AttemptEnded,
     CacheNote,
@@ -27,7 +27,7 @@
     Tenant,
     TimerFired,
 )
-from beacongw.logic import Router
+from holdgw.policy.logic import Router
 
 __all__ = [
     "Action",
--- a/beacongw/adapter.py
+++ b/holdgw/policy/adapter.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from beacongw import interface as api
-from beacongw.logic import Router
-from beacongw.settings import Fields, WireError, choice, read_settings, typed
+from holdgw.policy import interface as api
+from holdgw.policy.logic import Router
+from holdgw.policy.settings import Fields, WireError, choice, read_settings, typed
 
 _OUTCOMES = {
     "completed": api.Outcome.OK,
@@ -188,7 +188,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"beacongw: {error}", file=sys.stderr)
+        print(f"holdgw: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/beacongw/interface.py
+++ b/holdgw/policy/interface.py
@@ -1,4 +1,4 @@
-"""The public interface of beacongw: settings, events and actions. No decisions are made here.
+"""The public interface of the decisions: settings, events and actions. No decisions are made here.
 
 All times are whole nanoseconds on the caller's own monotonic clock.
 """
--- a/beacongw/logic.py
+++ b/holdgw/policy/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of beacongw, without I/O; the settings, events and actions are in interface.py.
+"""Every decision of the router, without I/O; the settings, events and actions are in interface.py.
 
 Ordinary path: key -> slot -> the ready cache server with the highest weighted hash of (slot, server id);
 a read that misses there -> the origin, if its tenant's Suppressor admits the fetch; a write -> the origin.
@@ -16,8 +16,8 @@
 from operator import itemgetter
 from zlib import crc32
 
-from beacongw import interface as api
-from beacongw.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from holdgw.policy import interface as api
+from holdgw.policy.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 
 SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
 DEPTH = 8  # ranked servers remembered for a slot: more than the attempts of any request
--- a/beacongw/settings.py
+++ b/holdgw/policy/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from beacongw import interface as api
+from holdgw.policy import interface as api
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 _SIZED_WEIGHTS = ("nominal", "rough")
--- a/holdpick/__main__.py
+++ b/holdgw/router/__main__.py
@@ -11,14 +11,15 @@
 
 import uvloop
 
-from beacongw import ListKind
-from beacongw.interface import NS_PER_S
-from holdpick.clients import ClientServer
-from holdpick.config import Address, Config, ConfigError, load_config
-from holdpick.discovery import Clock, Discovery, Listing, read_listing
-from holdpick.log import make_logger
-from holdpick.router import RouterHost
-from holdpick.upstream import Pool
+from holdgw.policy import ListKind
+from holdgw.policy.interface import NS_PER_S
+from holdgw.router.clients import ClientServer
+from holdgw.router.config import Config, ConfigError, load_config
+from holdgw.router.discovery import Clock, Discovery, Listing, read_listing
+from holdgw.router.host import RouterHost
+from holdgw.router.log import make_logger
+from holdgw.router.upstream import Pool
+from holdgw.wire.address import Address
 
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 ACCEPT_S = 0.5  # from SIGTERM on: new connections go on coming for up to 0.4 s
@@ -28,7 +29,7 @@
 OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
 CLIENT_SHARE = 0.5  # of the other descriptors: clients' requests hold a third of all at most
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("holdgw")
 
 
 async def serve(config: Config, listening: asyncio.Future[Address] | None = None) -> None:
@@ -117,13 +118,13 @@
         if config.known is not None:
             read_listing(config.known, Clock())
     except (ConfigError, ValueError) as error:
-        print(f"holdpick: {error}", file=sys.stderr)
+        print(f"holdgw: {error}", file=sys.stderr)
         return 2
     make_logger(config.name)
     try:
         uvloop.run(serve(config))
     except OSError as error:
-        print(f"holdpick: {error}", file=sys.stderr)
+        print(f"holdgw: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/holdpick/caches.py
+++ b/holdgw/router/caches.py
@@ -6,9 +6,9 @@
 
 import hiredis
 
-from beacongw import CacheNote, Outcome
-from holdpick.resp import MAX_VALUE
-from holdpick.upstream import Connection, Server
+from holdgw.policy import CacheNote, Outcome
+from holdgw.router.upstream import Connection, Server
+from holdgw.wire.resp import MAX_VALUE
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-3]\r\n\$(\d{1,8})\r\n")
--- a/holdpick/clients.py
+++ b/holdgw/router/clients.py
@@ -7,8 +7,8 @@
 from collections import deque
 from typing import Any, Protocol, cast
 
-from holdpick.config import Address
-from holdpick.resp import Command, CommandReader, parse_request
+from holdgw.wire.address import Address
+from holdgw.wire.resp import Command, CommandReader, parse_request
 
 BACKLOG = 1024  # connections that arrive while the loop is busy
 MAX_PIPELINE = 256  # commands of one connection without an answer; more are left unread
@@ -24,7 +24,7 @@
 SWEEP_S = 0.25
 REFUSERS = 32  # connections over the limit that are answered with a refusal
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("holdgw")
 
 
 class Host(Protocol):
--- a/holdpick/config.py
+++ b/holdgw/router/config.py
@@ -9,10 +9,9 @@
 
 import orjson
 
-from beacongw import Settings
-from beacongw.settings import WireError, read_settings, typed
-
-Address = tuple[str, int]
+from holdgw.policy import Settings
+from holdgw.policy.settings import WireError, read_settings, typed
+from holdgw.wire.address import Address, parse_address
 
 DEFAULT_MAX_OPEN = 20_000
 DEFAULT_DIAL_TIMEOUT_NS = 250_000_000
@@ -46,14 +45,6 @@
     """The list of servers as last held, in discovery's form; it may be old."""
 
 
-def parse_address(where: str, text: Any) -> Address:
-    """Split HOST:PORT; raises ValueError in one plain line."""
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ValueError(f"{where}: expected HOST:PORT, got {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def load_config(environ: Mapping[str, str], again: bool = False) -> Config:
     """Read the configuration; the variables go before what the file says, but not when it is read again."""
     path = environ.get("LB_CONFIG")
--- a/holdpick/discovery.py
+++ b/holdgw/router/discovery.py
@@ -12,9 +12,9 @@
 
 import orjson
 
-from beacongw import ListKind, Server, ServersChanged, ServerState
-from holdpick.config import Address, parse_address
-from holdpick.http import HttpError, HttpReader, request
+from holdgw.policy import ListKind, Server, ServersChanged, ServerState
+from holdgw.wire.address import Address, parse_address
+from holdgw.wire.http import HttpError, HttpReader, request
 
 MAX_BODY = 8 << 20  # tens of thousands of entries
 LIST_PATH = "/registry/instances"
@@ -26,7 +26,7 @@
 
 _STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("holdgw")
 
 
 @dataclass(frozen=True, slots=True)
--- a/holdpick/router.py
+++ b/holdgw/router/host.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-from beacongw import (
+from holdgw.policy import (
     Action,
     AttemptEnded,
     CacheNote,
@@ -32,15 +32,15 @@
     Subscribe,
     TimerFired,
 )
-from beacongw.interface import NS_PER_S
-from holdpick import http, resp
-from holdpick.caches import CacheConnection
-from holdpick.clients import Reply
-from holdpick.config import Address
-from holdpick.discovery import Listing
-from holdpick.origin import OriginConnection
-from holdpick.resp import Command
-from holdpick.upstream import Exchange, Pool
+from holdgw.policy.interface import NS_PER_S
+from holdgw.router.caches import CacheConnection
+from holdgw.router.clients import Reply
+from holdgw.router.discovery import Listing
+from holdgw.router.origin import OriginConnection
+from holdgw.router.upstream import Exchange, Pool
+from holdgw.wire import http, resp
+from holdgw.wire.address import Address
+from holdgw.wire.resp import Command
 
 NS_PER_MS = 1_000_000
 SWEEP_S = 0.02
@@ -51,7 +51,7 @@
 LONGEST_WAIT = 2  # times its class's deadline: no client waits longer
 KEY_SAFE = "/:@!$&'()*+,;=-._~"  # what a path may hold as it is
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("holdgw")
 
 
 class OpenRequest:
--- a/holdpick/log.py
+++ b/holdgw/router/log.py
@@ -32,7 +32,7 @@
     handler = logging.StreamHandler()
     handler.setFormatter(logging.Formatter(f"%(asctime)s {name} %(levelname)s %(message)s"))
     handler.addFilter(_Limit())
-    logger = logging.getLogger("holdpick")
+    logger = logging.getLogger("holdgw")
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
     logger.propagate = False
--- a/holdpick/origin.py
+++ b/holdgw/router/origin.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from beacongw import Outcome
-from holdpick.http import HttpError, HttpReader
-from holdpick.resp import MAX_VALUE
-from holdpick.upstream import Connection, Server
+from holdgw.policy import Outcome
+from holdgw.router.upstream import Connection, Server
+from holdgw.wire.http import HttpError, HttpReader
+from holdgw.wire.resp import MAX_VALUE
 
 _NEVER_RAN = (503, 504)
 
--- a/holdpick/upstream.py
+++ b/holdgw/router/upstream.py
@@ -9,15 +9,15 @@
 from collections.abc import Callable, Iterator
 from typing import cast
 
-from beacongw import CacheNote, Outcome
-from holdpick.config import Address
+from holdgw.policy import CacheNote, Outcome
+from holdgw.wire.address import Address
 
 PER_SERVER = 16  # connections to one server: more than it works on at a time, so that a jam waits here
 IDLE_SHARE = 0.6  # of the server's idle limit: well before it, for a request that crosses its close is lost
 SWEEP_S = 0.5
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
 
-log = logging.getLogger("holdpick")
+log = logging.getLogger("holdgw")
 
 
 class Exchange:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from beacongw import (
+from holdgw.policy import (
     Action,
     AttemptEnded,
     Effect,
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -9,11 +9,11 @@
 
 import orjson
 
-from beacongw import ListKind, Settings
-from holdpick.clients import ClientServer
-from holdpick.discovery import Clock, read_listing
-from holdpick.router import RouterHost
-from holdpick.upstream import Pool
+from holdgw.policy import ListKind, Settings
+from holdgw.router.clients import ClientServer
+from holdgw.router.discovery import Clock, read_listing
+from holdgw.router.host import RouterHost
+from holdgw.router.upstream import Pool
 from tests.helpers import settings
 
 LIMIT_S = 20.0  # far beyond what any step takes, also on a busy machine
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -61,7 +61,7 @@
 def run(*lines: object, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     text = "".join(line if isinstance(line, str) else json.dumps(line) + "\n" for line in lines)
     return subprocess.run(
-        [sys.executable, "-m", "beacongw.adapter"],
+        [sys.executable, "-m", "holdgw.policy.adapter"],
         input=text,
         capture_output=True,
         text=True,
--- /dev/null
+++ b/tests/test_architecture.py
@@ -0,0 +1,79 @@
+"""Imports between the rooms of the package go down only (docs/ARCHITECTURE.md)."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+MAY_IMPORT = {
+    "policy": set(),
+    "wire": set(),
+    "router": {"policy", "wire"},
+    "standins": {"wire"},
+    "rehearsal": {"standins", "wire"},
+    "cli": {"router", "rehearsal"},
+    "__main__": {"cli"},
+    "__init__": set(),
+}
+LEAN = {"hiredis", "httptools", "orjson", "uvloop", "msgspec"}
+"""What a router may import beside the standard library."""
+
+
+def imports(text: str) -> set[str]:
+    """Every dotted name that a source imports, at its top or inside functions."""
+    found: set[str] = set()
+    for node in ast.walk(ast.parse(text)):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            assert node.level == 0, "relative imports hide the room"
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
+    return found
+
+
+def rooms(names: set[str]) -> set[str]:
+    return {name.split(".")[1] for name in names if name.startswith("holdgw.")}
+
+
+def upward(room: str, text: str) -> set[str]:
+    return rooms(imports(text)) - MAY_IMPORT[room] - {room}
+
+
+def sources() -> list[Path]:
+    return sorted((ROOT / "holdgw").rglob("*.py"))
+
+
+@pytest.mark.parametrize("path", sources(), ids=lambda path: str(path.relative_to(ROOT)))
+def test_imports_go_down_only(path: Path) -> None:
+    room = path.relative_to(ROOT / "holdgw").parts[0].removesuffix(".py")
+    assert room in MAY_IMPORT, f"{room} has no place in the architecture yet"
+    assert not upward(room, path.read_text())
+
+
+def test_an_import_that_goes_up_is_seen() -> None:
+    assert upward("policy", "def f():\n    from holdgw.router import host\n") == {"router"}
+    assert upward("router", "import holdgw.rehearsal.report") == {"rehearsal"}
+
+
+def test_decisions_have_no_io_and_no_clock() -> None:
+    pure = [ROOT / "holdgw/policy" / f"{name}.py" for name in ("logic", "interface", "settings")]
+    for path in pure:
+        banned = {"asyncio", "socket", "time", "os", "random", "threading"} & {
+            name.split(".")[0] for name in imports(path.read_text())
+        }
+        assert banned <= {"random"}, f"{path.name} imports {banned}"
+
+
+def test_a_router_imports_nothing_of_the_tools() -> None:
+    script = "import sys, holdgw.router.__main__; print('\\n'.join(sys.modules))"
+    loaded = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True).stdout
+    mine = {name for name in loaded.split() if name.startswith("holdgw.")}
+    assert rooms(mine) <= {"policy", "wire", "router"}
+    others = {name.split(".")[0] for name in loaded.split()} - set(sys.stdlib_module_names) - {"holdgw"}
+    assert not others & {"typer", "rich", "click", "matplotlib"}
+    assert {name for name in others if not name.startswith("_")} & LEAN >= {"hiredis", "uvloop"}
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from beacongw import (
+from holdgw.policy import (
     ClientGone,
     Fail,
     ListKind,
@@ -23,7 +23,7 @@
     Tenant,
     TimerFired,
 )
-from beacongw.logic import CUT
+from holdgw.policy.logic import CUT
 from tests.helpers import MS, ORIGIN, S, ended, finals, fleet, only_send, request, sends, settings, started
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies
 from hypothesis import settings as profile
 
-from beacongw import (
+from holdgw.policy import (
     Action,
     AttemptEnded,
     ClientGone,
--- a/tests/test_slot_table.py
+++ b/tests/test_slot_table.py
@@ -6,8 +6,8 @@
 import random
 from dataclasses import replace
 
-from beacongw.interface import Server
-from beacongw.logic import DEPTH, SLOTS, SlotTable
+from holdgw.policy.interface import Server
+from holdgw.policy.logic import DEPTH, SLOTS, SlotTable
 from tests.helpers import S, fleet, settings
 
 COLD = {"cold_share": 0.25, "cold_time": 10 * S}
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,10 +14,10 @@
 import pytest
 import uvloop
 
-import holdpick.__main__ as program
-from beacongw import Action, AttemptEnded, Event, Outcome, RequestClass, Router
-from holdpick import clients, upstream
-from holdpick.config import Config, load_config
+import holdgw.router.__main__ as program
+from holdgw.policy import Action, AttemptEnded, Event, Outcome, RequestClass, Router
+from holdgw.router import clients, upstream
+from holdgw.router.config import Config, load_config
 from tests.helpers import MS, S, settings
 from tests.peers import LIMIT_S, Agent, Cache, Node, Origin, command, entry, read
 
--- a/tests/test_suppressor.py
+++ b/tests/test_suppressor.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from beacongw.interface import Tenant
-from beacongw.logic import CUT, RISE_S, Suppressor
+from holdgw.policy.interface import Tenant
+from holdgw.policy.logic import CUT, RISE_S, Suppressor
 from tests.helpers import MS, S
 
 
