--- /dev/null
+++ b/holdgw/rehearsal/checker.py
@@ -0,0 +1,344 @@
+"""The four rules, judged from what stand-ins and clients saw, never from a router's word; pure.
+
+1. lost: a request that a router took has exactly one final answer in time, made for it, and nothing more goes
+   out for it afterwards.
+2. twice: no effect happens twice, and nothing that may have run is sent again beyond what its class allows.
+3. late_drain: nothing new goes to a node later than the grace after this router was told that it drains or is
+   gone.
+4. felled: no cold node is pushed over.
+
+Every time limit is 50 ms longer here than the rule says, for the way and for the clocks of the emulator.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from holdgw.standins.records import (
+    LAG_BOUNDS_MS,
+    Attempt,
+    Extra,
+    Fallen,
+    Flushed,
+    Had,
+    Lag,
+    Odd,
+    Record,
+    Told,
+    Try,
+)
+
+SLACK_S = 0.05
+TOLD_AT_LATEST_S = 6.0  # after the view had it, whether or not it was written to the router
+RULES = ("lost", "twice", "late_drain", "felled")
+GOOD = ("hit", "served", "repeat")
+REPEAT_KNOWN = ("busy",)  # results that tell the router that the attempt never ran
+
+
+@dataclass(frozen=True, slots=True)
+class Life:
+    """A router's process: `exited` None if it never ended, `wanted` how it was told to end (TERM, KILL or
+    "").
+    """
+
+    router: str
+    started: float
+    ready: float | None = None
+    told_to_end: float | None = None
+    wanted: str = ""
+    exited: float | None = None
+    code: int | None = None
+
+
+@dataclass(slots=True)
+class History:
+    """All that was seen."""
+
+    tries: list[Try] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    had: list[Had] = field(default_factory=list)
+    fallen: list[Fallen] = field(default_factory=list)
+    odd: list[Odd] = field(default_factory=list)
+    extras: list[Extra] = field(default_factory=list)
+    lags: list[Lag] = field(default_factory=list)
+    flushed: list[Flushed] = field(default_factory=list)
+    lives: list[Life] = field(default_factory=list)
+
+    def add(self, record: Record) -> None:
+        """Sort a record in."""
+        match record:
+            case Try():
+                self.tries.append(record)
+            case Attempt():
+                self.attempts.append(record)
+            case Told():
+                self.told.append(record)
+            case Had():
+                self.had.append(record)
+            case Fallen():
+                self.fallen.append(record)
+            case Odd():
+                self.odd.append(record)
+            case Extra():
+                self.extras.append(record)
+            case Lag():
+                self.lags.append(record)
+            case Flushed():
+                self.flushed.append(record)
+
+
+@dataclass(frozen=True, slots=True)
+class ClassRule:
+    """What a class allows."""
+
+    effect: str
+    window: float = 0.0
+    """Seconds for which repeats of a keyed one are dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """One break of a rule."""
+
+    rule: str
+    at: float
+    requests: tuple[str, ...]
+    text: str
+
+
+def judge(
+    history: History, classes: Mapping[int, ClassRule], grace: float, last_try_is_over: float = float("inf")
+) -> list[Broken]:
+    """All breaks, in order of time. `classes`: of each ask; `grace`: the drain rule's, seconds."""
+    attempts = defaultdict[str, list[Attempt]](list)
+    for attempt in history.attempts:
+        attempts[attempt.request].append(attempt)
+    for several in attempts.values():
+        several.sort(key=lambda attempt: attempt.at)
+    lives = defaultdict[str, list[Life]](list)
+    for life in history.lives:
+        lives[life.router].append(life)
+    broken = [
+        *_lost(history, attempts, lives),
+        *_crashed(history.lives),
+        *_twice(history, attempts, classes),
+        *_late_drains(history, lives, grace),
+        *(
+            Broken(
+                "felled",
+                fall.at,
+                (),
+                f"{fall.server} was sent {fall.sent:.2f} of {fall.most:.2f} core-seconds",
+            )
+            for fall in history.fallen
+        ),
+    ]
+    return sorted((one for one in broken if one.at <= last_try_is_over), key=lambda one: one.at)
+
+
+def counts(broken: Iterable[Broken]) -> dict[str, int]:
+    """How often each rule was broken."""
+    found = dict.fromkeys(RULES, 0)
+    for one in broken:
+        found[one.rule] += 1
+    return found
+
+
+# Rule 1
+
+
+def _excused(lives: list[Life], start: float, end: float) -> bool:
+    """Whether the router was killed while a request was open; what it held then is the client's to retry."""
+    return any(
+        life.wanted == "KILL"
+        and life.told_to_end is not None
+        and start - SLACK_S <= life.told_to_end <= end + SLACK_S
+        for life in lives
+    )
+
+
+def _lost(
+    history: History, attempts: Mapping[str, list[Attempt]], lives: Mapping[str, list[Life]]
+) -> Iterable[Broken]:
+    for extra in history.extras:
+        yield Broken(
+            "lost", extra.at, (extra.request,), f"one more answer came after its final one ({extra.router})"
+        )
+    made = {(attempt.server, attempt.serial): attempt for attempt in history.attempts}
+    known = {one.request for one in history.tries}
+    for one in history.tries:
+        sent_on = attempts.get(one.request, [])
+
+        def lost(text: str, one: Try = one) -> Broken:
+            return Broken("lost", one.ended, (one.request,), f"{text} ({one.router})")
+
+        excused = _excused(lives.get(one.router, []), one.sent, one.ended)
+        if one.crossed and not excused and any(attempt.at < one.crossed for attempt in sent_on):
+            yield lost("the connection was closed on a request that had been read")
+        if one.answer == "none" and not excused:
+            yield lost(f"no answer within {one.wait * 1000:.0f} ms")
+        elif one.answer == "cut" and not excused and sent_on:
+            # One on which nothing was sent on has failed and is not lost (DAYS).
+            yield lost("the connection ended with no whole answer")
+        elif one.answer == "served":
+            maker = made.get((one.server, one.serial))
+            if one.fault:
+                yield lost(f"served with a value that was not made for it: {one.fault}")
+            elif maker is None or maker.request != one.request:
+                yield lost("served with a value that no server made for it")
+            elif maker.result not in GOOD or maker.fault:
+                yield lost(f"served with what {maker.server} did not answer ({maker.result} {maker.fault})")
+        if one.answer in ("served", "refused", "failed") and not one.crossed:
+            for attempt in sent_on:
+                if attempt.at > one.ended + SLACK_S:
+                    yield Broken(
+                        "lost",
+                        attempt.at,
+                        (one.request,),
+                        f"sent to {attempt.server} {attempt.at - one.ended:.3f} s after its answer",
+                    )
+    for request, several in attempts.items():
+        if request not in known:
+            text = f"{several[0].server} was sent a request that no client asked"
+            yield Broken("lost", several[0].at, (request,), text)
+
+
+def _crashed(lives: Iterable[Life]) -> Iterable[Broken]:
+    for life in lives:
+        if life.exited is None or life.wanted == "KILL":
+            continue
+        if life.wanted != "TERM":
+            yield Broken("lost", life.exited, (), f"{life.router} ended by itself with code {life.code}")
+        elif life.code != 0:
+            yield Broken("lost", life.exited, (), f"{life.router} ended on SIGTERM with code {life.code}")
+
+
+# Rule 2
+
+
+def _twice(
+    history: History, attempts: Mapping[str, list[Attempt]], classes: Mapping[int, ClassRule]
+) -> Iterable[Broken]:
+    for one in history.tries:
+        rule = classes.get(one.ask, ClassRule("safe"))
+        if rule.effect == "safe":
+            continue
+        # A miss at a mirror node has no effect; whatever else was not turned away may have run.
+        ran = [
+            attempt
+            for attempt in attempts.get(one.request, [])
+            if attempt.result not in (*REPEAT_KNOWN, "miss", "pending")
+        ]
+        if not ran:
+            continue
+        first = ran[0]
+        for attempt in attempts[one.request]:
+            late = attempt.at - first.at
+            if attempt is first or late < 0:
+                continue
+            if rule.effect == "unsafe":
+                text = f"sent again to {attempt.server} after {first.server} may have run it"
+                yield Broken("twice", attempt.at, (one.request,), f"{text} ({one.router})")
+            elif late > rule.window + SLACK_S:
+                text = (
+                    f"sent again {late:.3f} s after it may have run, beyond its window of {rule.window:g} s"
+                )
+                yield Broken("twice", attempt.at, (one.request,), f"{text} ({one.router})")
+        if sum(attempt.effect for attempt in ran) > 1 and all(
+            attempt.at - first.at <= rule.window + SLACK_S for attempt in ran
+        ):
+            yield Broken("twice", ran[-1].at, (one.request,), f"its effect happened twice ({one.router})")
+        if rule.effect == "unsafe" and one.answer == "refused":
+            text = f"refused after {first.server} may have run it"
+            yield Broken("twice", one.ended, (one.request,), f"{text} ({one.router})")
+
+
+# Rule 3
+
+
+def _late_drains(history: History, lives: Mapping[str, list[Life]], grace: float) -> Iterable[Broken]:
+    """Each router's knowledge of each server, as a line of (time, state); a process begins with
+    nothing told.
+    """
+    knowledge = defaultdict[tuple[str, str], list[tuple[float, str]]](list)
+    for told in history.told:
+        knowledge[told.router, told.server].append((told.at, told.state))
+    for had in history.had:
+        at = had.at + TOLD_AT_LATEST_S
+        # What a router was told by word of the wire goes before; this only counts where nothing newer came.
+        knowledge[had.router, had.server].append((at, f"late:{had.state}:{had.at}"))
+    for line in knowledge.values():
+        line.sort()
+    starts = {router: sorted(life.started for life in several) for router, several in lives.items()}
+    asked = {one.request: one for one in history.tries}
+    for attempt in history.attempts:
+        one = asked.get(attempt.request)
+        if one is None:
+            continue
+        line = knowledge.get((one.router, attempt.server), [])
+        begun = starts.get(one.router, [])
+        place = bisect_right(begun, attempt.at) - 1
+        since = begun[place] if place >= 0 else float("-inf")
+        unwelcome: float | None = None  # since when it has been told that the server wants nothing new
+        newest = float("-inf")  # of the states told so far, when the view had them
+        for at, state in line:
+            if at > attempt.at or at < since:
+                continue
+            if state.startswith("late:"):
+                _, state, text = state.split(":")
+                if float(text) < newest:
+                    continue
+            newest = at
+            if state == "up":
+                unwelcome = None
+            elif unwelcome is None:
+                unwelcome = at
+        if unwelcome is not None and attempt.at > unwelcome + grace + SLACK_S:
+            text = (
+                f"sent to {attempt.server} {attempt.at - unwelcome:.3f} s after {one.router} was told it goes"
+            )
+            yield Broken("late_drain", attempt.at, (attempt.request,), text)
+
+
+# The emulator itself
+
+
+@dataclass(frozen=True, slots=True)
+class LagVerdict:
+    """How late the emulator was: milliseconds, and why that makes the run void, if it does."""
+
+    p99_ms: float
+    worst_ms: float
+    worker: str
+    void: str = ""
+
+
+def judge_lag(
+    lags: Iterable[Lag], p99_ms: float, worst_ms: float, begun: float = float("-inf")
+) -> LagVerdict:
+    """Whether the emulator was in time, by its own readings; over 1 % of readings late, or one very late:
+    void.
+    """
+    readings = [lag for lag in lags if lag.at >= begun]
+    if not readings:
+        return LagVerdict(0.0, 0.0, "", "the emulator took no reading of its own lag")
+    buckets = [sum(column) for column in zip(*(lag.buckets for lag in readings), strict=True)]
+    left, p99 = sum(buckets) * 0.99, LAG_BOUNDS_MS[-1]
+    for bound, count in zip(LAG_BOUNDS_MS, buckets, strict=False):
+        left -= count
+        if left <= 0:
+            p99 = bound
+            break
+    late = max(readings, key=lambda lag: lag.worst)
+    verdict = LagVerdict(p99, round(late.worst * 1000, 2), late.worker)
+    if late.worst * 1000 > worst_ms:
+        why = f"{late.worker} was {late.worst * 1000:.0f} ms late once, over {worst_ms:g}"
+    elif p99 > p99_ms:
+        why = f"the 99th percentile of its lag is {p99:g} ms, over {p99_ms:g}"
+    else:
+        return verdict
+    return LagVerdict(verdict.p99_ms, verdict.worst_ms, verdict.worker, why)
--- /dev/null
+++ b/holdgw/rehearsal/counting.py
@@ -0,0 +1,213 @@
+"""Service as the brief counts it, from drawn asks and what became of them; pure.
+
+Worth answered within the aim over the worth asked for, a late answer at its class's late share, what goes
+beyond a tenant's quota at 5 %: 55 % the whole run, 15 % the worst 10 s, 5 % the worst-served class, 25 % the
+worst-served tenant. Deductions: 15 points in 100 for a fetch from the package store for each request, 8 for
+all failing only after the wanted time, 4 for as much work wasted as was asked for, 1 for one probe a request,
+1 for each request crossing zones once.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from holdgw.rehearsal.checker import GOOD, History
+from holdgw.rehearsal.day import PRELUDE, STORE, Ask
+from holdgw.rehearsal.scenario import RequestClass
+from holdgw.standins.records import Try
+
+K = TypeVar("K")
+
+OVER_WORTH = 0.05
+WORST_WINDOW_S = 10.0
+WINDOW_STEP_S = 1.0
+WHOLE, WINDOW, CLASS, TENANT = 0.55, 0.15, 0.05, 0.25
+ORIGIN, LATE_FAIL, WASTE, PROBE, CROSSING = 0.15, 0.08, 0.04, 0.01, 0.01
+
+
+@dataclass(slots=True)
+class Fate:
+    """What became of an ask. `took`: seconds from its first try to its good answer, None without one."""
+
+    ask: Ask
+    took: float | None = None
+    outcome: str = "failed"
+    """served, refused or failed: what its last try got; `left` where the client went away by itself."""
+    tries: int = 0
+    ended: float = 0.0
+    """Seconds of the day."""
+
+
+def fates(asks: Iterable[Ask], tries: Iterable[Try], begun: float) -> list[Fate]:
+    """Every ask of the day itself and what became of it. `begun`: the clock's time of second 0."""
+    by_ask = defaultdict[int, list[Try]](list)
+    for one in tries:
+        by_ask[one.ask].append(one)
+    found = []
+    for ask in asks:
+        if ask.source == PRELUDE:
+            continue
+        fate = Fate(ask, ended=ask.at)
+        for one in sorted(by_ask.get(ask.number, ()), key=lambda one: one.number):
+            fate.tries += 1
+            fate.ended = max(fate.ended, one.ended - begun)
+            if one.answer == "served" and not one.fault:
+                fate.outcome, fate.took = "served", one.ended - begun - ask.at
+            elif fate.took is None:
+                fate.outcome = one.answer if one.answer in ("refused", "left") else "failed"
+        found.append(fate)
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Worth asked for and worth got."""
+
+    asked: float = 0.0
+    got: float = 0.0
+
+    @property
+    def service(self) -> float:
+        """Got over asked; 1 where nothing was asked for."""
+        return self.got / self.asked if self.asked else 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """The figure and its parts, each from 0 to 1; deductions as they are taken off."""
+
+    service: float
+    whole: float
+    worst_window: float
+    worst_window_at: float
+    worst_class: tuple[str, float]
+    worst_tenant: tuple[str, float]
+    deductions: dict[str, float] = field(default_factory=dict)
+
+
+def value(fate: Fate, classes: Sequence[RequestClass]) -> tuple[float, float]:
+    """Worth asked for and worth got by one ask."""
+    cls = classes[fate.ask.request_class]
+    worth = cls.worth * (OVER_WORTH if fate.ask.over else 1.0)
+    if fate.took is None or fate.took > cls.give_up_ms / 1000:
+        return worth, 0.0
+    return worth, worth * (1.0 if fate.took <= cls.aim_ms / 1000 else cls.late_worth)
+
+
+def shares(
+    found: Iterable[Fate], classes: Sequence[RequestClass], group: Callable[[Fate], K]
+) -> dict[K, Share]:
+    """Worth by group."""
+    asked, got = defaultdict[K, float](float), defaultdict[K, float](float)
+    for fate in found:
+        a, g = value(fate, classes)
+        asked[group(fate)] += a
+        got[group(fate)] += g
+    return {name: Share(asked[name], got[name]) for name in asked}
+
+
+def worst_window(
+    found: Sequence[Fate], classes: Sequence[RequestClass], length: float
+) -> tuple[float, float]:
+    """The service of the worst 10 s and where they begin; of the whole day where it is shorter."""
+    if length <= WORST_WINDOW_S:
+        total = shares(found, classes, lambda _: 0).get(0, Share())
+        return total.service, 0.0
+    steps = shares(found, classes, lambda fate: int(fate.ask.at / WINDOW_STEP_S))
+    wide = int(WORST_WINDOW_S / WINDOW_STEP_S)
+    worst, at = 1.0, 0.0
+    for start in range(max(int(length / WINDOW_STEP_S) - wide + 1, 1)):
+        part = [steps.get(i, Share()) for i in range(start, start + wide)]
+        service = Share(sum(one.asked for one in part), sum(one.got for one in part)).service
+        if service < worst:
+            worst, at = service, start * WINDOW_STEP_S
+    return worst, at
+
+
+def count(
+    found: Sequence[Fate],
+    history: History,
+    classes: Sequence[RequestClass],
+    tenants: Sequence[str],
+    length: float,
+    begun: float,
+    zones: Mapping[str, str],
+    probes: int = 0,
+) -> Service:
+    """The service of a day. `zones`: of each router and server."""
+    total = shares(found, classes, lambda _: 0).get(0, Share())
+    by_class = shares(found, classes, lambda fate: fate.ask.request_class)
+    by_tenant = shares(found, classes, lambda fate: fate.ask.tenant)
+    window, window_at = worst_window(found, classes, length)
+    worst_class = min(((classes[i].name, one.service) for i, one in by_class.items()), key=lambda x: x[1])
+    worst_tenant = min(((tenants[i], one.service) for i, one in by_tenant.items()), key=lambda x: x[1])
+    goal = WHOLE * total.service + WINDOW * window + CLASS * worst_class[1] + TENANT * worst_tenant[1]
+    taken = deductions(found, history, classes, begun, zones, probes)
+    return Service(
+        max(goal - sum(taken.values()), 0.0),
+        total.service,
+        window,
+        window_at,
+        worst_class,
+        worst_tenant,
+        taken,
+    )
+
+
+def deductions(
+    found: Sequence[Fate],
+    history: History,
+    classes: Sequence[RequestClass],
+    begun: float,
+    zones: Mapping[str, str],
+    probes: int = 0,
+) -> dict[str, float]:
+    """What is taken off, by its name."""
+    asked = max(len(found), 1)
+    day = [attempt for attempt in history.attempts if attempt.at >= begun]
+    router = {one.request: one.router for one in history.tries}
+    used = {(one.server, one.serial) for one in history.tries if one.answer == "served"}
+    fetches = sum(attempt.server == STORE and not attempt.idempotency for attempt in day)
+    crossing = sum(
+        zones.get(attempt.server) != zones.get(router.get(attempt.request, ""))
+        for attempt in day
+        if attempt.server != STORE
+    )
+    ran = [attempt for attempt in day if attempt.server != STORE and attempt.result in GOOD]
+    wasted = sum(attempt.work for attempt in ran if (attempt.server, attempt.serial) not in used)
+    work = sum(classes[fate.ask.request_class].work_ms / 1000 for fate in found)
+    late = sum(
+        value(fate, classes)[0]
+        for fate in found
+        if fate.took is None and fate.ended - fate.ask.at > classes[fate.ask.request_class].aim_ms / 1000
+    )
+    worth = sum(value(fate, classes)[0] for fate in found)
+    return {
+        "origin": ORIGIN * fetches / asked,
+        "late_fail": LATE_FAIL * late / worth if worth else 0.0,
+        "waste": WASTE * wasted / work if work else 0.0,
+        "probes": PROBE * probes / asked,
+        "crossing": CROSSING * crossing / asked,
+    }
+
+
+def quantile(sorted_values: Sequence[float], q: float) -> float:
+    """A quantile of sorted values by nearest rank; 0 of none."""
+    if not sorted_values:
+        return 0.0
+    return sorted_values[min(int(q * len(sorted_values)), len(sorted_values) - 1)]
+
+
+def outcomes(found: Iterable[Fate], classes: Sequence[RequestClass]) -> Counter[str]:
+    """How many asks were served, in their aim, refused, and failed (with those left by their clients)."""
+    counted = Counter[str]()
+    for fate in found:
+        counted["asked"] += 1
+        kind = fate.outcome if fate.outcome in ("served", "refused") else "failed"
+        counted[kind] += 1
+        in_aim = fate.took is not None and fate.took <= classes[fate.ask.request_class].aim_ms / 1000
+        counted["in_aim"] += in_aim
+    return counted
--- /dev/null
+++ b/holdgw/rehearsal/day.py
@@ -0,0 +1,447 @@
+"""One day, drawn ahead from a scenario and a seed: every arrival, every choice of a client, every trouble;
+pure.
+
+Nothing in it depends on how the day goes. Each part draws from a generator of its own, so that another
+trouble does not move the arrivals, and whoever needs the day (each worker process does) draws the same one
+for itself.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from bisect import bisect_right
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from holdgw.rehearsal import scenario as s
+from holdgw.rehearsal.scenario import Scenario, kind_of, node_names, router_names, zone_of
+from holdgw.standins.chance import between, unit
+from holdgw.standins.node import Workload
+from holdgw.standins.node_model import NodeSpec
+from holdgw.standins.store_model import StoreSpec
+from holdgw.standins.work import WorkSpec
+
+STORE = "store"
+USUAL, SCAN, HOT, BURST, PRELUDE = "usual", "scan", "hot_caller", "burst", "prelude"
+QUOTA_WINDOW_S = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """What one client wants once, with its retries: all of it drawn ahead. `at` is seconds from the day's
+    start.
+    """
+
+    number: int
+    at: float
+    request_class: int
+    tenant: int
+    key: bytes
+    source: str
+    zone: str
+    spread: float
+    """Which of the routers that may be had it goes through."""
+    router: str
+    """The router that a hot caller goes through; empty for all others."""
+    patience: float
+    """The share of the give-up time after which a try is given up."""
+    backoff: float
+    honours: bool
+    leaves: float
+    """The share of its first try's time after which an impatient client leaves; 1 for the patient."""
+    fresh: bool
+    over: bool
+    """Beyond its tenant's quota: worth little."""
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """Something that is done to the fleet at a second of the day."""
+
+    at: float
+    verb: str
+    target: str = ""
+    args: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Mark:
+    """A trouble as a report shows it."""
+
+    kind: str
+    at: float
+    until: float
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Day:
+    """A drawn day. `asks` and `steps` are in order of time; the prelude's asks lie before 0."""
+
+    scenario: Scenario
+    seed: int
+    asks: tuple[Ask, ...]
+    steps: tuple[Step, ...]
+    marks: tuple[Mark, ...]
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """The zones."""
+        return self.scenario.fleet.zones
+
+
+def draw(scenario: Scenario, seed: int) -> Day:
+    """Draw the day."""
+    asks = tuple(_prelude(scenario, seed)) + tuple(_arrivals(scenario, seed))
+    steps, marks = _troubles(scenario, seed)
+    return Day(scenario, seed, asks, tuple(steps), tuple(marks))
+
+
+def _generator(seed: int, purpose: str) -> random.Random:
+    return random.Random(f"{seed}/{purpose}")
+
+
+class _Popularity:
+    """Keys by their rank: weight (rank + offset) ** -zipf."""
+
+    def __init__(self, keys: s.Keys) -> None:
+        weights = ((rank + 1 + keys.offset) ** -keys.zipf for rank in range(keys.count))
+        self._sums = list(itertools.accumulate(weights))
+
+    def key(self, u: float) -> bytes:
+        return key_name(bisect_right(self._sums, u * self._sums[-1], hi=len(self._sums) - 1))
+
+
+def key_name(rank: int) -> bytes:
+    """The name of the key of that popularity, 0 for the most popular."""
+    return b"pkg-%06d" % rank
+
+
+def load_at(scenario: Scenario, at: float) -> float:
+    """First tries a second at a time, without bursts."""
+    shape = scenario.load.shape
+    before = [point for point in shape if point[0] <= at]
+    after = [point for point in shape if point[0] > at]
+    if not before or not after:
+        return scenario.load.rate * (before[-1] if before else after[0])[1]
+    (t0, f0), (t1, f1) = before[-1], after[0]
+    return scenario.load.rate * (f0 + (f1 - f0) * (at - t0) / (t1 - t0))
+
+
+def _prelude(scenario: Scenario, seed: int) -> Iterator[Ask]:
+    """The keys asked for most, each once, before the day begins."""
+    count = min(scenario.emulator.prelude_keys, scenario.keys.count)
+    if not scenario.emulator.prelude_s or not count:
+        return
+    rng = _generator(seed, "prelude")
+    safe = next((i for i, one in enumerate(scenario.classes) if one.effect == "safe"), None)
+    if safe is None:
+        return
+    for i in range(count):
+        at = scenario.emulator.prelude_s * (i / count - 1)
+        zone = rng.choice(scenario.fleet.zones)
+        # The rarest first: those asked for most are the last to be forgotten.
+        key = key_name(count - 1 - i)
+        yield Ask(
+            i - count, at, safe, 0, key, PRELUDE, zone, rng.random(), "", 0.8, 0.5, True, 1.0, False, False
+        )
+
+
+def _arrivals(scenario: Scenario, seed: int) -> Iterator[Ask]:
+    rng = _generator(seed, "arrivals")
+    popularity = _Popularity(scenario.keys)
+    classes = list(itertools.accumulate(one.share for one in scenario.classes))
+    tenants = list(itertools.accumulate(one.share for one in scenario.tenants))
+    names = [one.name for one in scenario.tenants]
+    routers = router_names(scenario.fleet)
+    bursts = [trouble for trouble in scenario.trouble if isinstance(trouble, s.Burst)]
+    scans = [trouble for trouble in scenario.trouble if isinstance(trouble, s.Scan)]
+    hot = [
+        (trouble, _generator(seed, f"hot{i}").sample(routers, trouble.routers))
+        for i, trouble in enumerate(scenario.trouble)
+        if isinstance(trouble, s.HotCaller)
+    ]
+    portions = [tenants[0], *(b - a for a, b in itertools.pairwise(tenants))]
+    most = scenario.load.rate * max(factor for _, factor in scenario.load.shape)
+    for burst in bursts:
+        most *= max(burst.factor, 1.0)
+    used: list[list[float]] = [
+        [] for _ in names
+    ]  # arrivals of each tenant in the last second, within its quota
+    at, number = 0.0, 0
+    while True:
+        at += rng.expovariate(most)
+        if at >= scenario.length_s:
+            return
+        base = load_at(scenario, at)
+        rate, extra = base, list[tuple[float, s.Burst]]()
+        for burst in bursts:
+            if burst.at <= at < burst.at + burst.seconds:
+                part = portions[names.index(burst.tenant)] / tenants[-1] if burst.tenant else 1.0
+                more = base * part * (burst.factor - 1)
+                rate += more
+                extra.append((more, burst))
+        # Every arrival uses the same count of draws, kept or not, so that one trouble moves nothing else.
+        draws = [rng.random() for _ in range(16)]
+        keep, u_class, u_tenant, u_key, u_scan, u_hot, u_hot_router, u_zone = draws[:8]
+        spread, patience, backoff, honours, leaves, when, fresh, u_burst = draws[8:]
+        if keep * most >= rate:
+            continue
+        cls = min(bisect_right(classes, u_class * classes[-1]), len(classes) - 1)
+        tenant = min(bisect_right(tenants, u_tenant * tenants[-1]), len(tenants) - 1)
+        key, source, router = popularity.key(u_key), USUAL, ""
+        drawn = u_burst * rate
+        for more, burst in extra:
+            if 0 <= drawn < more:
+                source = BURST
+                tenant = names.index(burst.tenant) if burst.tenant else tenant
+                break
+            drawn -= more
+        if scenario.classes[cls].effect == "safe" and any(
+            scan.at <= at < scan.at + scan.seconds and u_scan < scan.share for scan in scans
+        ):
+            key, source = b"once-%08d" % number, SCAN
+        for trouble, through in hot:
+            if trouble.at <= at < trouble.at + trouble.seconds and u_hot < trouble.share:
+                source, router = HOT, through[int(u_hot_router * len(through))]
+                break
+        quota, window = scenario.tenants[tenant].quota_per_s, used[tenant]
+        over = False
+        if quota:
+            while window and window[0] <= at - QUOTA_WINDOW_S:
+                window.pop(0)
+            over = len(window) >= quota * QUOTA_WINDOW_S
+            if not over:
+                window.append(at)
+        clients = scenario.clients
+        yield Ask(
+            number,
+            at,
+            cls,
+            tenant,
+            key,
+            source,
+            scenario.fleet.zones[int(u_zone * len(scenario.fleet.zones))],
+            spread,
+            router,
+            between(patience, clients.try_share),
+            backoff,
+            honours < clients.honour,
+            when if leaves < clients.impatient else 1.0,
+            fresh < clients.fresh,
+            over,
+        )
+        number += 1
+
+
+# Troubles
+
+
+def _troubles(scenario: Scenario, seed: int) -> tuple[list[Step], list[Mark]]:
+    steps: list[Step] = []
+    marks: list[Mark] = []
+    alive = node_names(scenario.fleet)  # those that no trouble so far has taken away for good
+    fresh = itertools.count(scenario.fleet.nodes)
+    routers = router_names(scenario.fleet)
+    order = sorted(enumerate(scenario.trouble), key=lambda pair: pair[1].at)
+    for place, trouble in order:
+        rng = _generator(seed, f"trouble{place}")
+        until = trouble.at + getattr(trouble, "seconds", 0.0)
+        text = kind_of(trouble)
+
+        def chosen(wanted: Any, rng: random.Random = rng, alive: Sequence[str] = tuple(alive)) -> list[str]:
+            if isinstance(wanted, int):
+                return sorted(rng.sample(alive, min(wanted, len(alive))))
+            return [name for name in wanted if name in alive]
+
+        match trouble:
+            case s.Pause():
+                nodes = chosen(trouble.nodes)
+                steps += [Step(trouble.at, "pause", name, {"seconds": trouble.seconds}) for name in nodes]
+                text = f"{', '.join(nodes)} paused {trouble.seconds:g} s"
+            case s.Kill():
+                nodes = chosen(trouble.nodes)
+                steps += [Step(trouble.at, "kill", name) for name in nodes]
+                alive = [name for name in alive if name not in nodes]
+                text = f"{', '.join(nodes)} killed"
+            case s.Restart():
+                nodes = chosen(trouble.nodes)
+                until = trouble.at + trouble.down_s
+                for name in nodes:
+                    steps += [Step(trouble.at, "kill", name), Step(until, "start", name)]
+                text = f"{', '.join(nodes)} restarted, cold"
+            case s.Replace():
+                nodes = chosen(trouble.nodes)
+                until = trouble.at + trouble.down_s
+                alive = [name for name in alive if name not in nodes]
+                for name in nodes:
+                    new = f"node{next(fresh):03d}"
+                    place_of = {"instead": name if trouble.same_address else ""}
+                    steps += [Step(trouble.at, "kill", name), Step(until, "create", new, place_of)]
+                    alive.append(new)
+                text = f"{', '.join(nodes)} replaced"
+            case s.Drain():
+                nodes = chosen(trouble.nodes)
+                for name in nodes:
+                    steps += [Step(trouble.at, "drain", name), Step(until, "kill", name)]
+                alive = [name for name in alive if name not in nodes]
+                text = f"{', '.join(nodes)} drain, gone after {trouble.seconds:g} s"
+            case s.ColdStart():
+                new_nodes = [f"node{next(fresh):03d}" for _ in range(trouble.nodes)]
+                steps += [Step(trouble.at, "create", name, {"instead": ""}) for name in new_nodes]
+                alive += new_nodes
+                text = f"{', '.join(new_nodes)} join, cold"
+            case s.Flush():
+                steps.append(Step(trouble.at, "flush", "", {"share": trouble.share, "serial": place}))
+                text = f"{trouble.share:.0%} of the keys flushed"
+            case s.Scan():
+                text = f"scan: {trouble.share:.0%} of the reads"
+            case s.HotCaller():
+                through = _generator(seed, f"hot{place}").sample(routers, trouble.routers)
+                text = f"hot caller: {trouble.share:.0%} through {', '.join(through)}"
+            case s.Burst():
+                text = (
+                    f"burst: {trouble.factor:g} times the load{' of ' * bool(trouble.tenant)}{trouble.tenant}"
+                )
+            case s.OriginSlow():
+                steps += [
+                    Step(trouble.at, "slow", STORE, {"factor": trouble.factor}),
+                    Step(until, "slow", STORE, {"factor": 1.0}),
+                ]
+                text = f"package store {trouble.factor:g} times as slow"
+            case s.OriginDown():
+                steps += [Step(trouble.at, "down", STORE), Step(until, "up", STORE)]
+                text = "package store down"
+            case s.Reset() | s.Garble() | s.Silence():
+                nodes = [""] if trouble.nodes == "all" else chosen(trouble.nodes)
+                if trouble.store:
+                    nodes.append(STORE)
+                for name in nodes:
+                    for at, share in ((trouble.at, trouble.share), (until, -trouble.share)):
+                        spoil = {"fault": kind_of(trouble), "share": share}
+                        steps.append(Step(at, "spoil", name, spoil))
+                text = f"{kind_of(trouble)}: {trouble.share:.1%} of the answers"
+            case s.DiscoveryLate():
+                lateness = {"extra": trouble.extra_s, "seconds": trouble.seconds}
+                steps.append(Step(trouble.at, "late", "discovery", lateness))
+                text = f"discovery {trouble.extra_s:g} s late"
+            case s.DiscoveryStale():
+                views = rng.sample(routers, trouble.routers) if trouble.routers else routers
+                steps.append(
+                    Step(trouble.at, "stale", "discovery", {"seconds": trouble.seconds, "routers": views})
+                )
+                text = f"discovery stale at {len(views)} routers"
+            case s.DiscoveryDown():
+                steps.append(Step(trouble.at, "down", "discovery", {"seconds": trouble.seconds}))
+                text = "discovery down"
+            case s.RouterRestart():
+                picked = rng.sample(routers, trouble.routers)
+                for i, name in enumerate(picked):
+                    step = Step(trouble.at + i * trouble.gap_s, "restart", name, {"signal": trouble.signal})
+                    steps.append(step)
+                    until = step.at
+                text = f"{', '.join(picked)}: SIG{trouble.signal} and a new start"
+            case s.RouterReload():
+                picked = rng.sample(routers, trouble.routers)
+                steps += [Step(trouble.at, "reload", name) for name in picked]
+                text = f"{', '.join(picked)}: new configuration, SIGHUP"
+            case s.Stall():
+                steps.append(Step(trouble.at, "stall", trouble.where, {"seconds": trouble.seconds}))
+                text = f"the emulator's {trouble.where} stand still"
+        marks.append(Mark(kind_of(trouble), trouble.at, until, text))
+    steps.sort(key=lambda step: step.at)
+    return [step for step in steps if step.at < scenario.length_s], marks
+
+
+# Sizes that are drawn by name
+
+
+def node_spec(scenario: Scenario, seed: int, name: str) -> NodeSpec:
+    """A node's sizes."""
+    table = scenario.node
+
+    def span(what: str, bounds: tuple[float, float]) -> float:
+        return between(unit(seed, "node", name, what), bounds)
+
+    return NodeSpec(
+        work=WorkSpec(
+            cores=table.cores,
+            slots=round(span("slots", table.slots)) * table.cores,
+            queue=round(span("queue", table.queue)),
+            speed=span("speed", table.speed),
+            cold_share=table.cold_share,
+            warm_s=table.warm_s,
+            thrash=table.thrash,
+            thrash_at=table.thrash_at,
+        ),
+        memory=table.memory_kb << 10,
+        lasts_s=table.lasts_s,
+        fall_multiple=table.fall_multiple,
+        fall_s=table.fall_s,
+        report_s=span("report", table.report_ms) / 1000,
+        report_late_s=span("late", table.report_late_ms) / 1000,
+        handshake_s=table.handshake_ms / 1000,
+        connections=table.connections,
+        full_tax=table.full_tax,
+        idle_s=table.idle_s,
+        probe_s=table.probe_ms / 1000,
+        miss_share=table.miss_share,
+    )
+
+
+def store_spec(scenario: Scenario) -> StoreSpec:
+    """The package store's sizes: as many slots as its rate takes, each at the speed that gives just that
+    rate.
+    """
+    table = scenario.store
+    slots = max(1, round(table.per_s * table.read_ms / 1000))
+    fit = slots / (table.per_s * table.read_ms / 1000)
+    return StoreSpec(
+        slots=slots,
+        queue=round(table.queue_s * table.per_s),
+        read_s=table.read_ms / 1000 * fit,
+        write_s=table.write_ms / 1000 * fit,
+        cv=table.cv,
+    )
+
+
+def workload(scenario: Scenario, seed: int) -> Workload:
+    """Work and sizes by request and key."""
+    return Workload(
+        seed,
+        {one.name: (one.work_ms / 1000, one.cv) for one in scenario.classes},
+        scenario.node.attempt_noise,
+        (scenario.keys.size_bytes, scenario.keys.size_cv),
+    )
+
+
+def lines(scenario: Scenario, seed: int, name: str, zone: str) -> dict[str, float]:
+    """One-way delays in seconds from each zone to a server in `zone`."""
+    fleet = scenario.fleet
+    return {
+        other: between(unit(seed, "line", name, other), fleet.same_ms if other == zone else fleet.cross_ms)
+        / 1000
+        for other in fleet.zones
+    }
+
+
+def zone_of_server(scenario: Scenario, name: str) -> str:
+    """A node's zone; the package store stands in the first one."""
+    return zone_of(scenario.fleet.zones, int(name[4:]) if name != STORE else 0)
+
+
+def zone_of_router(scenario: Scenario, name: str) -> str:
+    """A router's zone."""
+    return zone_of(scenario.fleet.zones, int(name[6:]))
+
+
+def request_id(seed: int, ask: int, number: int) -> str:
+    """A try's id; new with every try, and always the same in every run."""
+    return f"{int(unit(seed, 'id', ask, number) * (1 << 32)):08x}-{ask}-{number}"
+
+
+def idempotency_key(seed: int, ask: int) -> str:
+    """A keyed write's key; the same in all its tries."""
+    return f"{int(unit(seed, 'k', ask) * (1 << 48)):012x}"
--- /dev/null
+++ b/holdgw/rehearsal/deployment.py
@@ -0,0 +1,112 @@
+"""What a router is told at its start (DEPLOY, "What a router is told"), made from a scenario; and the deploy
+file.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from holdgw.rehearsal.scenario import Scenario, router_names, zone_of
+from holdgw.standins.chance import unit
+from holdgw.wire.address import Address, format_address
+
+NODE_KIND, STORE_KIND = "std-1c", "origin"
+_EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+_NS_PER_MS = 1_000_000
+MAX_RETRY_AFTER_MS = 1200
+
+
+class DeployError(Exception):
+    """The deploy file can't be used; one plain line that names file and field."""
+
+
+def run_command(path: Path) -> str:
+    """The command that starts one router; raises DeployError."""
+    try:
+        told = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        reason = error.strerror if isinstance(error, OSError) else str(error)
+        raise DeployError(f"{path}: {reason}") from None
+    command = told.get("run")
+    if not isinstance(command, str) or not command.strip():
+        raise DeployError(f"{path}: run: expected a command, got {command!r}")
+    return command
+
+
+def settings(scenario: Scenario, number: int) -> dict[str, Any]:
+    """The settings of the router of that number, in the simulator's names and units."""
+    node, router = scenario.node, scenario.router
+    share = sum(one.share for one in scenario.tenants)
+    ceilings = {
+        "cancel": True,
+        "dialTimeoutNs": 120 * _NS_PER_MS,
+        "idleCloseNs": int(node.idle_s * 1e9),
+        "maxOpen": 20_000,
+        "maxRetryAfterNs": MAX_RETRY_AFTER_MS * _NS_PER_MS,
+        "mayProbe": router.probes,
+        "mostTries": router.attempts,
+        "peers": False,
+        "retryAfter": router.retry_after,
+        "secondCopies": True,
+        "streamsPerConn": 32,
+    }
+    return {
+        "balancers": scenario.fleet.routers,
+        "me": number,
+        "ceilings": ceilings,
+        "classes": [
+            {
+                "name": one.name,
+                "aimNs": int(one.aim_ms * _NS_PER_MS),
+                "giveUpNs": int(one.give_up_ms * _NS_PER_MS),
+                "dedupWindowNs": int(one.window_ms * _NS_PER_MS),
+                "group": "all",
+                "semantics": _EFFECTS[one.effect],
+                "streamed": False,
+                "worth": one.worth,
+                "lateValue": one.late_worth,
+            }
+            for one in scenario.classes
+        ],
+        "tenants": [
+            {"name": one.name, "portion": one.share / share, "quotaPerS": one.quota_per_s}
+            for one in scenario.tenants
+        ],
+        "failureDomains": list(scenario.fleet.zones),
+        "zone": zone_of(scenario.fleet.zones, number),
+        "familyInfo": {"mode": "aside", "originKind": 1},
+        "feedback": {"fields": ["latency_ms", "queue"], "how": "answers"},
+        "kinds": [NODE_KIND, STORE_KIND],
+        "membershipMode": "automatic" if scenario.discovery.mode == "push" else "subscribe",
+        "weightKind": "none",
+        "rules": {
+            "askWithinNs": 10_000_000_000,
+            "coldNs": int(node.warm_s * 1e9),
+            "coldShare": node.cold_share,
+            "drainGraceNs": int(router.drain_grace_ms * _NS_PER_MS),
+            "fallMultiple": node.fall_multiple,
+            "fallNs": int(node.fall_s * 1e9),
+        },
+    }
+
+
+def configuration(
+    scenario: Scenario, seed: int, name: str, start: int, listen: Address, discovery: Address, known: Any
+) -> dict[str, Any]:
+    """The whole file of LB_CONFIG for a router's `start`-th start."""
+    return {
+        "name": name,
+        "listen": format_address(listen),
+        "discovery": format_address(discovery),
+        "seed": f"{int(unit(seed, 'router', name, start) * (1 << 60)):016x}",
+        "limits": {
+            "cores": scenario.router.cores,
+            "memory_mb": scenario.router.memory_mb,
+            "sockets": scenario.router.sockets,
+        },
+        "peers": [],
+        "known": known,
+        "settings": settings(scenario, router_names(scenario.fleet).index(name)),
+    }
--- /dev/null
+++ b/holdgw/rehearsal/report.py
@@ -0,0 +1,227 @@
+"""What a played day came to, as one plain object for `--json`, the page and the terminal; pure."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from holdgw.rehearsal import counting
+from holdgw.rehearsal.checker import Broken, ClassRule, LagVerdict, counts, judge, judge_lag
+from holdgw.rehearsal.counting import Fate, Service, fates, quantile
+from holdgw.rehearsal.day import STORE, Day, zone_of_router, zone_of_server
+from holdgw.rehearsal.routers import Usage
+from holdgw.rehearsal.scenario import node_names, router_names
+from holdgw.rehearsal.stage import Played
+from holdgw.standins.records import Attempt
+
+WINDOW_S = 5.0
+BUSIEST = 5
+MOST_BROKEN = 200  # breaks listed; all are counted
+
+
+@dataclass(slots=True)
+class Report:
+    """A day's report. `body` is what `--json` writes; the rest is for those who draw."""
+
+    body: dict[str, Any]
+    day: Day
+    broken: list[Broken]
+    lag: LagVerdict
+    fates: list[Fate]
+    service: Service
+    attempts: list[Attempt] = field(default_factory=list)
+    """Of the day itself, times in seconds of the day."""
+    router_of: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def exit_code(self) -> int:
+        """0: the rules were kept; 1: one was broken; 3: the emulator was late, and nothing is judged."""
+        if self.lag.void:
+            return 3
+        return 1 if self.broken else 0
+
+
+def _summary(found: Sequence[Fate], day: Day) -> dict[str, Any]:
+    """Counts, service and latencies of some asks."""
+    classes = day.scenario.classes
+    counted = counting.outcomes(found, classes)
+    took = sorted(fate.took * 1000 for fate in found if fate.took is not None)
+    share = counting.shares(found, classes, lambda _: 0).get(0, counting.Share())
+    return {
+        **{name: counted[name] for name in ("asked", "served", "in_aim", "refused", "failed")},
+        "service": round(share.service, 4),
+        "p50_ms": round(quantile(took, 0.5), 1),
+        "p99_ms": round(quantile(took, 0.99), 1),
+    }
+
+
+def _grouped(found: Iterable[Fate], day: Day, group: Callable[[Fate], str]) -> dict[str, Any]:
+    parts = defaultdict[str, list[Fate]](list)
+    for fate in found:
+        parts[group(fate)].append(fate)
+    return {name: _summary(parts[name], day) for name in sorted(parts)}
+
+
+def _used(usage: Sequence[Usage], begun: float) -> dict[str, Any]:
+    """A router's memory, descriptors and CPU over the day."""
+    day = [one for one in usage if one.at >= begun]
+    if not day:
+        return {}
+    span = day[-1].at - day[0].at
+    return {
+        "memory_mb": round(max(one.memory for one in day) / (1 << 20), 1),
+        "memory_mb_end": round(day[-1].memory / (1 << 20), 1),
+        "descriptors": max(one.descriptors for one in day),
+        "cpu_share": round((day[-1].cpu - day[0].cpu) / span, 4) if span > 0 else 0.0,
+        "cpu_s": round(day[-1].cpu - day[0].cpu, 3),
+    }
+
+
+def _missing(attempts: Iterable[Attempt]) -> Counter[str]:
+    return Counter(attempt.missing for attempt in attempts if attempt.missing)
+
+
+def _windows(
+    found: Sequence[Fate], attempts: Sequence[Attempt], day: Day, router_of: dict[str, str]
+) -> list[dict[str, Any]]:
+    """Every 5 s: what was asked, what became of it, and the signs by which troubles are told apart."""
+    asks = defaultdict[int, list[Fate]](list)
+    sent = defaultdict[int, list[Attempt]](list)
+    for fate in found:
+        asks[int(fate.ask.at / WINDOW_S)].append(fate)
+    for attempt in attempts:
+        sent[int(attempt.at / WINDOW_S)].append(attempt)
+    rows = []
+    for i in range(int((day.scenario.length_s - 1e-9) / WINDOW_S) + 1):
+        here, tried = asks[i], sent[i]
+        routers = Counter(router for attempt in tried if (router := router_of.get(attempt.request, "")))
+        mean = sum(routers.values()) / len(router_names(day.scenario.fleet))
+        rows.append(
+            {
+                "at": i * WINDOW_S,
+                **_summary(here, day),
+                "sources": dict(Counter(fate.ask.source for fate in here)),
+                "origin_fetches": sum(one.server == STORE and not one.idempotency for one in tried),
+                "attempts": len(tried),
+                "missing": dict(_missing(tried)),
+                "router_skew": round(max(routers.values(), default=0) / mean, 2) if mean else 0.0,
+            }
+        )
+    return rows
+
+
+def _told_apart(found: Sequence[Fate], attempts: Sequence[Attempt], day: Day, flushed: int) -> dict[str, Any]:
+    """Troubles that overlap, each by its own sign: a scan by keys wanted once, a hot caller by who asked and
+    through which router, a flush by copies that had been kept and were missed.
+    """
+    scanned = [fate for fate in found if fate.ask.source == "scan"]
+    hot = [fate for fate in found if fate.ask.source == "hot_caller"]
+    through = Counter(fate.ask.router for fate in hot)
+    missing = _missing(attempts)
+    return {
+        "scan": {**_summary(scanned, day), "keys": len({fate.ask.key for fate in scanned})},
+        "hot_caller": {**_summary(hot, day), "through": dict(through.most_common(BUSIEST))},
+        "flush": {"copies_gone": flushed, "misses_of_flushed": missing["flushed"]},
+        "misses": dict(missing),
+    }
+
+
+def _nodes(attempts: Iterable[Attempt], day: Day) -> dict[str, Any]:
+    rows: dict[str, Counter[str]] = defaultdict(Counter)
+    work = defaultdict[str, float](float)
+    for attempt in attempts:
+        row = rows[attempt.server]
+        row["attempts"] += 1
+        row[attempt.result] += 1
+        row["spoilt"] += bool(attempt.fault)
+        work[attempt.server] += attempt.work
+    names = {*node_names(day.scenario.fleet), *rows} - {STORE}
+    return {
+        name: {**rows[name], "work_s": round(work[name], 2), "zone": zone_of_server(day.scenario, name)}
+        for name in sorted(names)
+    }
+
+
+def make_report(played: Played) -> Report:
+    """Judge and count a played day."""
+    day, scenario, history, begun = played.day, played.day.scenario, played.history, played.begun
+    rules = {
+        ask.number: ClassRule(cls.effect, cls.window_ms / 1000)
+        for ask in day.asks
+        for cls in (scenario.classes[ask.request_class],)
+    }
+    broken = judge(history, rules, scenario.router.drain_grace_ms / 1000)
+    lag = judge_lag(history.lags, scenario.emulator.lag_ms, scenario.emulator.worst_ms, begun)
+    found = fates(day.asks, history.tries, begun)
+    routers = router_names(scenario.fleet)
+    zones = {name: zone_of_router(scenario, name) for name in routers}
+    servers = {attempt.server for attempt in history.attempts}
+    zones |= {name: zone_of_server(scenario, name) for name in servers}
+    tenants = [one.name for one in scenario.tenants]
+    service = counting.count(found, history, scenario.classes, tenants, scenario.length_s, begun, zones)
+    router_of = {one.request: one.router for one in history.tries}
+    attempts = sorted(
+        (_in_day(one, begun) for one in history.attempts if one.at >= begun), key=lambda one: one.at
+    )
+    total = _summary(found, day)
+    flushed = sum(one.gone for one in history.flushed)
+    starts = Counter(life.router for life in history.lives)
+    body = {
+        "asked": total["asked"],
+        "served": total["served"],
+        "in_aim": total["in_aim"],
+        "refused": total["refused"],
+        "failed": total["failed"],
+        "service": round(service.service, 4),
+        "rules": counts(broken),
+        "p50_ms": total["p50_ms"],
+        "p99_ms": total["p99_ms"],
+        "origin_fetches": sum(one.server == STORE and not one.idempotency for one in attempts),
+        "nodes": _nodes(attempts, day),
+        "routers": {
+            name: {
+                **_used(played.usage.get(name, ()), begun),
+                "starts": starts[name],
+                "asked": sum(one.router == name and one.sent >= begun for one in history.tries),
+                "memory_limit_mb": scenario.router.memory_mb,
+            }
+            for name in routers
+        },
+        "scenario": scenario.name,
+        "seed": day.seed,
+        "length_s": scenario.length_s,
+        "void": lag.void,
+        "emulator": {**asdict(lag), "cpu_s": {name: round(cpu, 2) for name, cpu in played.workers.items()}},
+        "service_parts": asdict(service),
+        "attempts": len(attempts),
+        "tries": sum(one.sent >= begun for one in history.tries),
+        "classes": _grouped(found, day, lambda fate: scenario.classes[fate.ask.request_class].name),
+        "tenants": _grouped(found, day, lambda fate: tenants[fate.ask.tenant]),
+        "sources": _grouped(found, day, lambda fate: fate.ask.source),
+        "told_apart": _told_apart(found, attempts, day, flushed),
+        "windows": _windows(found, attempts, day, router_of),
+        "troubles": [asdict(mark) for mark in day.marks],
+        "broken": [
+            {"rule": one.rule, "at": round(one.at - begun, 3), "requests": one.requests, "text": one.text}
+            for one in broken[:MOST_BROKEN]
+        ],
+        "odd": [
+            {"server": one.server, "at": round(one.at - begun, 3), "text": one.text}
+            for one in history.odd[:MOST_BROKEN]
+        ],
+        "spoilt": dict(Counter(one.fault for one in attempts if one.fault)),
+        "answers": dict(Counter(one.answer for one in history.tries if one.sent >= begun)),
+    }
+    return Report(body, day, broken, lag, found, service, attempts, router_of)
+
+
+def _in_day(attempt: Attempt, begun: float) -> Attempt:
+    return Attempt(
+        **{
+            **{name: getattr(attempt, name) for name in Attempt.__struct_fields__},
+            "at": attempt.at - begun,
+            "ended": attempt.ended - begun,
+        }
+    )
--- /dev/null
+++ b/holdgw/rehearsal/routers.py
@@ -0,0 +1,212 @@
+"""Real routers as processes: started by the deploy file's `run`, watched, and ended whatever happens."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import os
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+
+from holdgw.rehearsal.checker import Life
+from holdgw.standins.shell import Clock
+from holdgw.wire.address import Address, format_address
+
+READY_S = 30.0
+PING_EVERY_S = 0.02
+PING_S = 1.0
+_PR_SET_PDEATHSIG = 1
+_TICKS = os.sysconf("SC_CLK_TCK")
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def die_with_parent() -> None:
+    """For a child before its program starts: it is killed when whoever started it is gone, however
+    it went.
+    """
+    _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+
+
+def free_address(ip: str) -> Address:
+    """An address that nobody listens on; nobody else uses this ip."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return ip, probe.getsockname()[1]
+
+
+class Usage(msgspec.Struct, array_like=True):
+    """What a router's processes take: bytes, descriptors, and CPU seconds since its start."""
+
+    at: float
+    memory: int
+    descriptors: int
+    cpu: float
+
+
+class RouterProcess:
+    """One router and its lives."""
+
+    def __init__(
+        self, name: str, command: str, root: Path, folder: Path, address: Address, clock: Clock
+    ) -> None:
+        self.name, self.address, self.starts = name, address, 0
+        self.lives: list[Life] = []
+        self.usage: list[Usage] = []
+        self._command, self._root, self._folder, self._clock = command, root, folder, clock
+        self._config = folder / f"{name}.json"
+        self._process: asyncio.subprocess.Process | None = None
+        self._watch: asyncio.Task[None] | None = None
+        self._cpu_before = 0.0  # of lives that are over
+
+    def configure(self, told: dict[str, Any]) -> None:
+        """Write its configuration, all at once."""
+        new = self._config.with_suffix(".new")
+        new.write_bytes(orjson.dumps(told))
+        new.replace(self._config)
+
+    async def start(self, discovery: Address) -> None:
+        """Start a process; returns as soon as it runs."""
+        self.starts += 1
+        temporary = self._folder / f"{self.name}-tmp-{self.starts}"
+        temporary.mkdir()
+        environment = {
+            **os.environ,
+            "LB_NAME": self.name,
+            "LB_LISTEN": format_address(self.address),
+            "LB_DISCOVERY": format_address(discovery),
+            "LB_CONFIG": str(self._config),
+            "TMPDIR": str(temporary),
+        }
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                "/bin/sh",
+                "-c",
+                self._command,
+                cwd=self._root,
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+                preexec_fn=die_with_parent,
+            )
+        self.lives.append(Life(self.name, self._clock()))
+        self._watch = asyncio.create_task(self._wait(self._process, len(self.lives) - 1))
+
+    @property
+    def log(self) -> Path:
+        """What it has written to its standard output and error."""
+        return self._folder / f"{self.name}.log"
+
+    async def _wait(self, process: asyncio.subprocess.Process, life: int) -> None:
+        code = await process.wait()
+        self._change(life, exited=self._clock(), code=code)
+        if self.usage:
+            self._cpu_before = self.usage[-1].cpu
+
+    def _change(self, life: int, **changes: Any) -> None:
+        fields = {name: getattr(self.lives[life], name) for name in Life.__slots__}
+        self.lives[life] = Life(**{**fields, **changes})
+
+    async def ready(self) -> bool:
+        """Wait until it answers PING with PONG; False: it ended, or did not in time."""
+        assert self._process is not None
+        due = self._clock() + READY_S
+        while self._process.returncode is None and self._clock() < due:
+            if await self._pings():
+                self._change(-1, ready=self._clock())
+                return True
+            await asyncio.sleep(PING_EVERY_S)
+        return False
+
+    async def _pings(self) -> bool:
+        writer = None
+        try:
+            async with asyncio.timeout(PING_S):
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(b"*1\r\n$4\r\nPING\r\n")
+                return (await reader.readline()).startswith(b"+PONG")
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            if writer is not None:
+                writer.close()
+
+    @property
+    def running(self) -> bool:
+        """Whether its process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def pid(self) -> int:
+        """The program that `run` started, not the shell round it."""
+        assert self._process is not None
+        pid = self._process.pid
+        with contextlib.suppress(OSError, IndexError, ValueError):
+            if Path(f"/proc/{pid}/comm").read_text().strip() in ("sh", "dash", "bash"):
+                return int(Path(f"/proc/{pid}/task/{pid}/children").read_text().split()[0])
+        return pid
+
+    def tell(self, number: signal.Signals) -> None:
+        """Send a signal; its end by SIGTERM or SIGKILL is wanted then."""
+        if not self.running:
+            return
+        if number is signal.SIGKILL:
+            wanted = self.lives[-1].wanted or "KILL"
+            self._change(-1, told_to_end=self._clock(), wanted=wanted)
+            self._kill_group()
+            return
+        if number is signal.SIGTERM:
+            self._change(-1, told_to_end=self._clock(), wanted="TERM")
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.pid, number)
+
+    def _kill_group(self) -> None:
+        assert self._process is not None
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(self._process.pid, signal.SIGKILL)
+
+    async def ended(self, within: float) -> bool:
+        """Wait for its end; False: it still runs."""
+        if self._watch is not None:
+            await asyncio.wait((self._watch,), timeout=within)
+        return not self.running
+
+    async def end(self) -> None:
+        """End it now, and all it started."""
+        if self._process is not None:
+            self._kill_group()
+            if self._watch is not None:
+                await self._watch
+
+    def sample(self) -> None:
+        """Read what its processes take now."""
+        if not self.running:
+            return
+        memory = descriptors = 0
+        cpu = self._cpu_before
+        try:
+            for pid in _tree(self.pid):
+                fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+                cpu += (int(fields[11]) + int(fields[12])) / _TICKS
+                memory += int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE
+                descriptors += len(os.listdir(f"/proc/{pid}/fd"))
+        except (OSError, IndexError, ValueError):
+            return  # it is ending just now
+        self.usage.append(Usage(self._clock(), memory, descriptors, cpu))
+
+
+def _tree(pid: int) -> list[int]:
+    """A process and all below it."""
+    found = [pid]
+    for parent in found:
+        with contextlib.suppress(OSError):
+            found += map(int, Path(f"/proc/{parent}/task/{parent}/children").read_text().split())
+    return found
--- /dev/null
+++ b/holdgw/rehearsal/worker.py
@@ -0,0 +1,427 @@
+"""One process of the emulator: some mirror nodes, or the package store with discovery, or some clients.
+
+Started by the stage with a socket as its only way to the world outside loopback: `python -m
+holdgw.rehearsal.worker FD`. When the stage goes, it goes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import socket
+import sys
+import time
+import traceback
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import uvloop
+
+from holdgw.rehearsal import day as drawn
+from holdgw.rehearsal.channel import (
+    Batch,
+    Begin,
+    Channel,
+    Did,
+    Do,
+    Fault,
+    Finish,
+    Front,
+    Message,
+    Places,
+    Setup,
+    Stored,
+    Voided,
+)
+from holdgw.rehearsal.clients import Clients
+from holdgw.rehearsal.day import STORE, lines, node_spec, store_spec, workload, zone_of_server
+from holdgw.rehearsal.deployment import NODE_KIND, STORE_KIND
+from holdgw.rehearsal.scenario import node_names, router_names
+from holdgw.standins.chance import between, unit
+from holdgw.standins.discovery import DiscoveryServer
+from holdgw.standins.node import NodeServer
+from holdgw.standins.records import LAG_BOUNDS_MS, Lag, Record
+from holdgw.standins.registry_model import Entry, RegistryModel, State
+from holdgw.standins.shell import Host
+from holdgw.standins.store import StoreServer
+from holdgw.wire.address import Address
+
+BEAT_S = 0.005  # how often a worker looks at how late it is
+FLUSH_S = 0.25
+CLOCK = time.monotonic
+
+
+class Lateness:
+    """How late the loop's timers are, by one that is always on."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, name: str) -> None:
+        self._loop, self._name = loop, name
+        self._buckets = [0] * (len(LAG_BOUNDS_MS) + 1)
+        self._worst = 0.0
+        self._due = 0.0
+        self._next()
+
+    def _next(self) -> None:
+        self._due = CLOCK() + BEAT_S
+        self._loop.call_later(BEAT_S, self._beat)
+
+    def _beat(self) -> None:
+        late = max(CLOCK() - self._due, 0.0)
+        self._worst = max(self._worst, late)
+        place = next((i for i, bound in enumerate(LAG_BOUNDS_MS) if late * 1000 <= bound), len(LAG_BOUNDS_MS))
+        self._buckets[place] += 1
+        self._next()
+
+    def take(self) -> Lag:
+        """The readings since the last call."""
+        lag = Lag(self._name, CLOCK(), self._worst, tuple(self._buckets))
+        self._buckets, self._worst = [0] * len(self._buckets), 0.0
+        return lag
+
+
+class Part:
+    """What all roles have in common: it keeps the records and sends them on."""
+
+    def __init__(self, channel: Channel, setup: Setup) -> None:
+        self.channel, self.setup = channel, setup
+        self.loop = asyncio.get_running_loop()
+        self.records: list[Record] = []
+
+    def saw(self, record: Record) -> None:
+        """Keep a record."""
+        self.records.append(record)
+
+    def stored(self, request: bytes, key: bytes, size: int) -> None:
+        """The package store answered a read."""
+        self.channel.send(Stored(request, key, size))
+
+    def voided(self, key: bytes) -> None:
+        """A write was carried out."""
+        self.channel.send(Voided(key))
+
+    def flush(self) -> None:
+        """Send what was seen."""
+        if self.records:
+            records, self.records = self.records, []
+            self.channel.send(Batch(records))
+
+    async def start(self) -> Any:
+        """Take up the role; returns what the stage should know."""
+
+    def places(self, places: Places) -> None:
+        """Learn addresses."""
+
+    def begin(self, at: float) -> None:
+        """The day begins then."""
+
+    async def do(self, verb: str, target: str, args: dict[str, Any]) -> Any:
+        """Do something."""
+        if verb == "stall":
+            time.sleep(args["seconds"])
+            return None
+        raise ValueError(f"no such thing to do: {verb}")
+
+    def close(self) -> None:
+        """The day is over."""
+
+
+class NodesPart(Part):
+    """Some of the mirror nodes."""
+
+    nodes: dict[str, NodeServer]
+
+    async def start(self) -> Any:
+        """Start the nodes whose number fits."""
+        self.nodes = {}
+        names = node_names(self.setup.scenario.fleet)[self.setup.index :: self.setup.count]
+        for name in names:
+            node = self._make(name)
+            await node.start()
+            node.model.learning = True
+        return {name: self.nodes[name].addresses for name in names}
+
+    def _make(self, name: str) -> NodeServer:
+        scenario, seed = self.setup.scenario, self.setup.seed
+        zone = zone_of_server(scenario, name)
+        host = Host(self.setup.ip, lines(scenario, seed, name, zone))
+        spec = node_spec(scenario, seed, name)
+        node = self.nodes[name] = NodeServer(name, spec, workload(scenario, seed), host, self, CLOCK)
+        return node
+
+    async def do(self, verb: str, target: str, args: dict[str, Any]) -> Any:
+        """Troubles of nodes."""
+        if verb == "learn":
+            for node in self.nodes.values():
+                node.model.learning = False
+        elif verb == "flush":
+            for node in self.nodes.values():
+                if node.alive:
+                    node.flush(args["share"], self.setup.seed, args["serial"])
+        elif verb == "spoil":
+            for node in self.nodes.values() if not target else [self.nodes[target]]:
+                share = getattr(node.shares, args["fault"]) + args["share"]
+                setattr(node.shares, args["fault"], max(share, 0.0))
+        elif verb == "pause":
+            self.nodes[target].pause(args["seconds"])
+        elif verb == "kill":
+            self.nodes[target].kill()
+        elif verb == "start":
+            await self.nodes[target].start(cold=True)
+        elif verb == "drain":
+            self.nodes[target].drain()
+        elif verb == "create":
+            node = self._make(target)
+            if args["instead"]:
+                node.take_addresses(self.nodes[args["instead"]].addresses)
+            await node.start(cold=True)
+            return node.addresses
+        else:
+            return await super().do(verb, target, args)
+        return None
+
+    def received(self, message: Stored | Voided) -> None:
+        """News of the package store, for all nodes here."""
+        for node in self.nodes.values():
+            if isinstance(message, Stored):
+                node.stored(message.request, message.key, message.size)
+            else:
+                node.voided(message.key)
+
+    def close(self) -> None:
+        """The day is over."""
+        for node in self.nodes.values():
+            node.close()
+
+
+class HubPart(Part):
+    """The package store and discovery."""
+
+    store: StoreServer
+    discovery: DiscoveryServer
+
+    async def start(self) -> Any:
+        """Start both; the nodes' addresses come later."""
+        scenario, seed = self.setup.scenario, self.setup.seed
+        self._places: dict[str, dict[str, Address]] = {}
+        routers = router_names(scenario.fleet)
+        self._zone_of = {name: drawn.zone_of_router(scenario, name) for name in routers}
+        windows = {one.name: one.window_ms / 1000 for one in scenario.classes}
+        zone = zone_of_server(scenario, STORE)
+        host = Host(self.setup.ip, lines(scenario, seed, STORE, zone))
+        spec = store_spec(scenario)
+        self.store = StoreServer(STORE, spec, workload(scenario, seed), windows, host, self, CLOCK)
+        await self.store.start()
+        self._places[STORE] = self.store.addresses
+        entries = [self._entry(name) for name in node_names(scenario.fleet)]
+        entries.append(Entry(STORE, State.UP, zone, STORE_KIND))
+
+        def notice(view: str, version: int) -> float:
+            return between(unit(seed, "notice", view, version), scenario.discovery.notice_s)
+
+        model = RegistryModel(entries, routers, notice, CLOCK())
+        call_s = scenario.discovery.call_ms / 1000 if scenario.discovery.mode == "ask" else 0.0
+        self.discovery = DiscoveryServer(model, routers, self._where, self, CLOCK, self.setup.ip, call_s)
+        return await self.discovery.start()
+
+    def _entry(self, name: str, started_ms: int = 0) -> Entry:
+        scenario = self.setup.scenario
+        cell = int(name[4:]) // scenario.fleet.cell
+        return Entry(name, State.UP, zone_of_server(scenario, name), NODE_KIND, cell, started_ms=started_ms)
+
+    def _where(self, router: str, server: str) -> Address:
+        return self._places[server][self._zone_of[router]]
+
+    def places(self, places: Places) -> None:
+        """Learn where nodes listen."""
+        self._places.update(places.servers)
+
+    async def do(self, verb: str, target: str, args: dict[str, Any]) -> Any:
+        """Troubles of the package store and of discovery, and changes of the list."""
+        if target == STORE:
+            return await self._do_store(verb, args)
+        if target == "discovery":
+            self._do_discovery(verb, args)
+        elif verb == "up":
+            self.discovery.change(self._entry(target, int(time.time() * 1000)))
+        elif verb in ("draining", "removed"):
+            entry = replace(self._entry(target), state=State(verb))
+            self.discovery.change(entry)
+        elif verb == "known":
+            view = self.discovery.model.views[target]
+            return self.discovery.form(target, True, list(view.entries.values()))
+        elif verb == "move":
+            return await self.discovery.listen(target)
+        else:
+            return await super().do(verb, target, args)
+        return None
+
+    async def _do_store(self, verb: str, args: dict[str, Any]) -> None:
+        if verb == "slow":
+            self.store.slow(args["factor"])
+        elif verb == "down":
+            self.store.down()
+        elif verb == "up":
+            await self.store.start()
+        elif verb == "spoil":
+            share = getattr(self.store.shares, args["fault"]) + args["share"]
+            setattr(self.store.shares, args["fault"], max(share, 0.0))
+        else:
+            raise ValueError(f"the package store can't {verb}")
+
+    def _do_discovery(self, verb: str, args: dict[str, Any]) -> None:
+        if verb == "late":
+            self.discovery.late(args["extra"], args["seconds"])
+        elif verb == "stale":
+            self.discovery.stale(args["seconds"], args["routers"])
+        elif verb == "down":
+            self.discovery.down(args["seconds"])
+        else:
+            raise ValueError(f"discovery can't {verb}")
+
+    def close(self) -> None:
+        """The day is over."""
+        self.store.close()
+        self.discovery.close()
+
+
+class ClientsPart(Part):
+    """Some of the clients."""
+
+    clients: Clients
+
+    async def start(self) -> Any:
+        """Draw the day."""
+        day = drawn.draw(self.setup.scenario, self.setup.seed)
+        self.clients = Clients(day, self.setup.index, self.setup.count, self, CLOCK)
+
+    def places(self, places: Places) -> None:
+        """Learn where routers listen."""
+        self.clients.routers(places.routers)
+
+    def begin(self, at: float) -> None:
+        """Make the asks, each at its time."""
+        gc.collect()
+        gc.freeze()
+        self.clients.begin(at)
+
+    def flush(self) -> None:
+        """Send what was seen, and the count."""
+        super().flush()
+        self.channel.send(self.clients.tally)
+
+    async def do(self, verb: str, target: str, args: dict[str, Any]) -> Any:
+        """Whether all is over."""
+        if verb == "done":
+            return self.clients.done
+        return await super().do(verb, target, args)
+
+    def close(self) -> None:
+        """The day is over."""
+        self.clients.close()
+
+
+ROLES: dict[str, Callable[[Channel, Setup], Part]] = {
+    "nodes": NodesPart,
+    "hub": HubPart,
+    "clients": ClientsPart,
+}
+
+
+class Worker:
+    """Takes the stage's messages, one after the other, and sees to the end."""
+
+    def __init__(self) -> None:
+        self.over = asyncio.Event()
+        self.part: Part | None = None
+        self.channel: Channel | None = None
+        self._messages: asyncio.Queue[Message] = asyncio.Queue()
+        self._lateness: Lateness | None = None
+        self._flush_timer: asyncio.TimerHandle | None = None
+
+    async def run(self, sock: socket.socket) -> None:
+        """Until the stage says that the day is over, or is gone."""
+        loop = asyncio.get_running_loop()
+        self.channel = await Channel.over(sock, self._came, self.over.set)
+        takes = loop.create_task(self._take_all())
+        takes.add_done_callback(lambda _: self.over.set())
+        await self.over.wait()
+        takes.cancel()
+        if self.part is not None:
+            self.part.close()
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+
+    def _came(self, message: Message) -> None:
+        if isinstance(message, Stored | Voided) and isinstance(self.part, NodesPart):
+            self.part.received(message)
+        elif isinstance(message, Front) and isinstance(self.part, ClientsPart):
+            self.part.clients.front(message.router, message.up)
+        else:
+            self._messages.put_nowait(message)
+
+    async def _take_all(self) -> None:
+        assert self.channel is not None
+        try:
+            while True:
+                message = await self._messages.get()
+                if isinstance(message, Finish):
+                    await self._finish()
+                    return
+                await self._take(message)
+        except Exception:
+            self.channel.send(Fault(traceback.format_exc()))
+            await asyncio.sleep(0.2)  # for it to be written
+
+    async def _take(self, message: Message) -> None:
+        assert self.channel is not None
+        if isinstance(message, Setup):
+            loop = asyncio.get_running_loop()
+            self.part = ROLES[message.role](self.channel, message)
+            value = await self.part.start()
+            self._lateness = Lateness(loop, message.name)
+            self._flush()
+            self.channel.send(Did(0, value))
+        elif self.part is None:
+            raise ValueError(f"{type(message).__name__} before the setup")
+        elif isinstance(message, Places):
+            self.part.places(message)
+        elif isinstance(message, Begin):
+            self.part.begin(message.at)
+        elif isinstance(message, Do):
+            self.channel.send(
+                Did(message.number, await self.part.do(message.verb, message.target, message.args))
+            )
+
+    def _flush(self) -> None:
+        assert self.part is not None
+        assert self._lateness is not None
+        self.part.saw(self._lateness.take())
+        self.part.flush()
+        self._flush_timer = self.part.loop.call_later(FLUSH_S, self._flush)
+
+    async def _finish(self) -> None:
+        assert self.part is not None
+        assert self.channel is not None
+        self.part.close()
+        self.part.flush()
+        self.channel.send(Finish())
+        self.channel.close()
+        await asyncio.sleep(10)  # the stage reads all and then goes away, which ends this
+
+
+def main() -> int:
+    """Serve the stage at the other end of the descriptor that the first argument names."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C is the stage's
+    sock = socket.socket(fileno=int(sys.argv[1]))
+
+    async def serve() -> None:
+        await Worker().run(sock)
+
+    uvloop.run(serve())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/holdgw/standins/discovery.py
@@ -0,0 +1,256 @@
+"""Discovery's sockets: the whole list, watches, and who has been told what (PROTOCOL, "Discovery").
+
+Pushed: an agent beside each router, one listener a router. Asked: one service, and a router is known by the
+listener it connects to as well, so that what it was told can be judged; its calls are worked off in turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import cast
+from urllib.parse import parse_qsl, urlsplit
+
+import orjson
+
+from holdgw.standins.records import Had, Odd, Told, Witness
+from holdgw.standins.registry_model import Entry, RegistryModel, State
+from holdgw.standins.shell import Alarm, Clock, Host, Listeners, reset
+from holdgw.wire.address import Address, format_address
+from holdgw.wire.http import HttpError, HttpRequest, RequestReader, response
+
+LIST_PATH = "/registry/instances"
+MOST_WAIT_MS = 60_000
+OLD_ADDRESS_S = 1.5  # in which the address before a move still answers what is connected there
+
+Where = Callable[[str, str], Address]
+"""The address of a server for a router: (router, server)."""
+
+
+class _Connection(asyncio.Protocol):
+    """One router's connection to discovery."""
+
+    def __init__(self, server: DiscoveryServer, router: str) -> None:
+        self.server, self.router = server, router
+        self.transport: asyncio.Transport | None = None
+        self._reader = RequestReader(1 << 16)
+        self._wait: asyncio.TimerHandle | None = None
+        self._index = 0
+        self.watching = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_waiting()
+        self.server.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for request in self._reader.read(data):
+                self._asked(request)
+        except (HttpError, ValueError) as error:
+            self.server.odd(str(error))
+            self.abort()
+
+    def _asked(self, request: HttpRequest) -> None:
+        target = urlsplit(request.target.decode("latin-1"))
+        if request.method != b"GET" or target.path != LIST_PATH:
+            raise ValueError(f"asked for {target.path}")
+        query = dict(parse_qsl(target.query))
+        if self.watching:
+            raise ValueError("a second call before the first one's answer")
+        self.server.called(self, query)
+
+    def wait(self, index: int, milliseconds: int) -> None:
+        """Answer once there is something newer, or when the time is up."""
+        self._index, self.watching = index, True
+        if self.news():
+            return
+        delay = min(milliseconds, MOST_WAIT_MS) / 1000
+        self._wait = self.server.loop.call_later(delay, self.answer, False, [])
+
+    def news(self) -> bool:
+        """Answer a watch if there is something newer; returns whether it did."""
+        if not self.watching:
+            return False
+        reset, entries = self.server.model.views[self.router].newer_than(self._index)
+        if not reset and not entries:
+            return False
+        self.answer(reset, entries)
+        return True
+
+    def answer(self, reset: bool, entries: list[Entry]) -> None:
+        """Write the list, and remember what this router has been told by it."""
+        self._stop_waiting()
+        if self.transport is not None:
+            self.transport.write(response(200, self.server.body(self.router, reset, entries)))
+            self.server.told(self.router, reset, entries)
+
+    def fail(self) -> None:
+        """The call fails."""
+        self._stop_waiting()
+        if self.transport is not None:
+            self.transport.write(response(503))
+
+    def _stop_waiting(self) -> None:
+        self.watching = False
+        if self._wait is not None:
+            self._wait.cancel()
+            self._wait = None
+
+    def abort(self) -> None:
+        reset(self.transport)
+
+
+class DiscoveryServer:
+    """All routers' discovery."""
+
+    def __init__(
+        self,
+        model: RegistryModel,
+        routers: Iterable[str],
+        where: Where,
+        witness: Witness,
+        clock: Clock,
+        ip: str = "127.0.0.1",
+        call_s: float = 0.0,
+    ) -> None:
+        self.model, self.loop = model, asyncio.get_running_loop()
+        self.connections: set[_Connection] = set()
+        self._routers, self._where, self._witness, self._clock = list(routers), where, witness, clock
+        self._ip, self._call_s = ip, call_s
+        self._listeners: dict[str, Listeners] = {}
+        self._known: dict[str, set[str]] = {}  # what each router was told to be there
+        self._alarm = Alarm(self.loop, clock, self._rings)
+        self._down_until = float("-inf")
+        self._free_at = float("-inf")  # when the one service has worked off the calls so far
+
+    async def start(self) -> dict[str, Address]:
+        """Listen; returns each router's address of discovery."""
+        for router in self._routers:
+            await self.listen(router)
+        return {router: listeners.addresses[""] for router, listeners in self._listeners.items()}
+
+    async def listen(self, router: str) -> Address:
+        """Listen for a router at a new address; the one before takes no new connection, and closes later."""
+        listeners = Listeners(Host(self._ip))
+        await listeners.open(lambda _: _Connection(self, router))
+        old = self._listeners.get(router)
+        if old is not None:
+            old.close()
+            for connection in [one for one in self.connections if one.router == router]:
+                self.loop.call_later(OLD_ADDRESS_S, connection.abort)
+        self._listeners[router] = listeners
+        return listeners.addresses[""]
+
+    def close(self) -> None:
+        """The day is over."""
+        self._alarm.close()
+        for listeners in self._listeners.values():
+            listeners.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def odd(self, text: str) -> None:
+        """Something came that no router should send."""
+        self._witness.saw(Odd("discovery", self._clock(), text))
+
+    # Troubles
+
+    def change(self, entry: Entry) -> None:
+        """The list changes."""
+        self.model.change(self._clock(), entry)
+        self._rings()
+
+    def late(self, extra: float, seconds: float) -> None:
+        """Changes from now on come later than usual."""
+        self.model.late(self._clock(), extra, seconds)
+
+    def stale(self, seconds: float, routers: Iterable[str]) -> None:
+        """Those routers' views stand still."""
+        self.model.stale(self._clock(), seconds, routers)
+
+    def down(self, seconds: float) -> None:
+        """Watches end, calls fail, and views stand still."""
+        self._down_until = max(self._down_until, self._clock() + seconds)
+        self.model.stale(self._clock(), seconds, self._routers)
+        for connection in list(self.connections):
+            connection.abort()
+
+    # Calls
+
+    def called(self, connection: _Connection, query: dict[str, str]) -> None:
+        """One call; where discovery is asked, calls are worked off in turn."""
+        now = self._clock()
+        if now < self._down_until:
+            connection.fail()
+            return
+        if not self._call_s:
+            self._serve(connection, query)
+            return
+        self._free_at = max(self._free_at, now) + self._call_s
+        self.loop.call_later(self._free_at - now, self._serve, connection, query)
+
+    def _serve(self, connection: _Connection, query: dict[str, str]) -> None:
+        self._take_in()
+        if "index" in query:
+            connection.wait(int(query["index"]), int(query.get("wait", "0")))
+        else:
+            connection.answer(True, list(self.model.views[connection.router].entries.values()))
+
+    def _take_in(self) -> dict[str, int]:
+        came = self.model.advance(self._clock())
+        for router, changes in came.items():
+            for change in changes:
+                entry = change.entry
+                self._witness.saw(Had(router, entry.id, entry.state.value, change.at))
+        self._alarm.set(self.model.next_due())
+        return dict.fromkeys(came, 1)
+
+    def _rings(self) -> None:
+        came = self._take_in()
+        if self._clock() < self._down_until:
+            return
+        for connection in [one for one in self.connections if one.router in came]:
+            connection.news()
+
+    def body(self, router: str, reset: bool, entries: list[Entry]) -> bytes:
+        """The list in discovery's form."""
+        return orjson.dumps(self.form(router, reset, entries))
+
+    def form(self, router: str, reset: bool, entries: list[Entry]) -> dict[str, object]:
+        """The list as an object; also what a router is told as `known`."""
+        return {
+            "generation": self.model.views[router].version,
+            "reset": reset,
+            "instances": [
+                {
+                    "instanceId": entry.id,
+                    "hostPort": format_address(self._where(router, entry.id)),
+                    "zone": entry.zone,
+                    "machineType": entry.kind,
+                    "cell": entry.cell,
+                    "lifecycle": entry.state.value,
+                    "weight": entry.weight,
+                    "startedAtMs": entry.started_ms,
+                }
+                for entry in entries
+            ],
+        }
+
+    def told(self, router: str, whole: bool, entries: list[Entry]) -> None:
+        """Remember what was written to a router."""
+        now, view = self._clock(), self.model.views[router]
+        known = self._known.setdefault(router, set())
+        for entry in entries:
+            since = view.since.get(entry.id, now)
+            self._witness.saw(Told(router, entry.id, entry.state.value, now, since, whole))
+        if whole:
+            # A whole list also tells, by leaving them out, which servers are gone.
+            for server in known - {entry.id for entry in entries}:
+                self._witness.saw(Told(router, server, State.REMOVED.value, now, now, whole))
+            known.clear()
+        for entry in entries:
+            (known.discard if entry.state is State.REMOVED else known.add)(entry.id)
--- /dev/null
+++ b/holdgw/standins/shell.py
@@ -0,0 +1,109 @@
+"""What the sockets of all stand-ins share: one timer on a model, listeners by zone, delayed lines."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+from typing import cast
+
+from holdgw.wire.address import Address
+
+LINGER_NONE = struct.pack("ii", 1, 0)
+SHORT_S = 0.0007  # delays under this are left out: a timer of the loop is no finer than a millisecond
+
+Clock = Callable[[], float]
+ByZone = Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """Where a stand-in listens: `zones` gives each router zone's one-way delay in seconds, a
+    listener each.
+    """
+
+    ip: str = "127.0.0.1"
+    zones: ByZone = field(default_factory=lambda: {"": 0.0})
+
+
+def reset(transport: asyncio.BaseTransport | None) -> None:
+    """End a connection as the death of its process does: by a reset, whatever is unsent or unread."""
+    if transport is None:
+        return
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):  # it is closed already
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    cast(asyncio.Transport, transport).abort()
+
+
+class Alarm:
+    """One timer that is set to the model's next event; setting it later than it stands costs nothing."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, ring: Callable[[], None]) -> None:
+        self._loop, self._clock, self._ring = loop, clock, ring
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = 0.0
+
+    def set(self, due: float | None) -> None:
+        """Ring at `due`, or not at all."""
+        if due is None:
+            return  # it may ring once for nothing
+        if self._timer is not None:
+            if self._due <= due:
+                return  # it rings earlier and is set anew then
+            self._timer.cancel()
+        self._due = due
+        self._timer = self._loop.call_later(max(due - self._clock(), 0.0), self._rings)
+
+    def _rings(self) -> None:
+        self._timer = None
+        self._ring()
+
+    def close(self) -> None:
+        """Never ring again."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class Listeners:
+    """A stand-in's listeners, one for each zone that routers come from; ports stay the same when reopened."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.addresses: dict[str, Address] = {}
+        self._servers: list[asyncio.Server] = []
+
+    async def open(self, protocol: Callable[[float], asyncio.Protocol]) -> None:
+        """Listen; `protocol` makes one for a connection over a line with that one-way delay."""
+        loop = asyncio.get_running_loop()
+        for zone, delay in self.host.zones.items():
+            port = self.addresses[zone][1] if zone in self.addresses else 0
+            make = partial(protocol, delay)
+            server = await loop.create_server(make, self.host.ip, port, backlog=512)
+            self._servers.append(server)
+            self.addresses[zone] = (self.host.ip, server.sockets[0].getsockname()[1])
+
+    @property
+    def is_open(self) -> bool:
+        """Whether anybody may connect."""
+        return bool(self._servers)
+
+    def close(self) -> None:
+        """Refuse connections from now on."""
+        servers, self._servers = self._servers, []
+        for server in servers:
+            server.close()
+
+
+def after(loop: asyncio.AbstractEventLoop, delay: float, call: Callable[[], None]) -> None:
+    """Call after a line's delay; lines too short for a timer are no delay."""
+    if delay < SHORT_S:
+        call()
+    else:
+        loop.call_later(delay, call)
--- a/holdgw/wire/http.py
+++ b/holdgw/wire/http.py
@@ -1,10 +1,13 @@
-"""A small HTTP/1.1 client on one connection: a request at a time, and never sent twice."""
+"""HTTP/1.1 on one connection, both sides of it: answers as a client reads them, requests as a server does."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import httptools
 
 MAX_HEAD = 32 << 10  # bytes before the body: a peer that sends more is broken
+MAX_HEADERS = 100
 
 
 class HttpError(Exception):
@@ -114,3 +117,68 @@
     length = b"" if body is None else b"Content-Length: %d\r\n" % len(body)
     head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n".encode("ascii")
     return b"%b%b%b\r\n%b" % (head, headers, length, body or b"")
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request, as a server reads it; names of headers are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class RequestReader:
+    """Reads the requests of one connection, each with a body of at most so many bytes."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._parser = httptools.HttpRequestParser(self)
+        self._whole: list[HttpRequest] = []
+        self._target, self._headers, self._body = b"", dict[bytes, bytes](), bytearray()
+
+    def read(self, data: bytes) -> list[HttpRequest]:
+        """Take bytes; returns the requests that are whole now. Raises HttpError on broken ones."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise HttpError(str(error.__context__ or error)) from None
+        whole, self._whole = self._whole, []
+        return whole
+
+    def on_message_begin(self) -> None:
+        """Called by httptools."""
+        self._target, self._headers, self._body = b"", {}, bytearray()
+
+    def on_url(self, data: bytes) -> None:
+        """Called by httptools."""
+        self._target += data
+        if len(self._target) > MAX_HEAD:
+            raise HttpError("target too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by httptools."""
+        self._headers[name.lower()] = value
+        if len(self._headers) > MAX_HEADERS:
+            raise HttpError("too many headers")
+
+    def on_body(self, data: bytes) -> None:
+        """Called by httptools."""
+        self._body += data
+        if len(self._body) > self._most:
+            raise HttpError("body too long")
+
+    def on_message_complete(self) -> None:
+        """Called by httptools."""
+        method = self._parser.get_method()
+        self._whole.append(HttpRequest(method, self._target, self._headers, bytes(self._body)))
+
+
+_REASONS = {200: "OK", 400: "Bad Request", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+def response(status: int, body: bytes = b"", headers: bytes = b"") -> bytes:
+    """Write an answer down; `headers` are whole lines."""
+    head = f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}\r\n".encode("ascii")
+    return b"%bContent-Length: %d\r\n%b\r\n%b" % (head, len(body), headers, body)
--- /dev/null
+++ b/tests/crashing_router.py
@@ -0,0 +1,13 @@
+"""A test double: the router as it is, until it ends by itself amid the day."""
+
+from __future__ import annotations
+
+import os
+import sys
+import threading
+
+from holdgw.router import __main__ as program
+
+if __name__ == "__main__":
+    threading.Timer(4.0, os._exit, (7,)).start()
+    sys.exit(program.main())
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,243 @@
+"""The checker on recorded histories: each rule broken once, each excuse held."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from holdgw.rehearsal.checker import ClassRule, History, Life, counts, judge, judge_lag
+from holdgw.standins.records import (
+    LAG_BOUNDS_MS,
+    Attempt,
+    Extra,
+    Fallen,
+    Flushed,
+    Had,
+    Lag,
+    Odd,
+    Record,
+    Told,
+    Try,
+)
+
+CLASSES = {1: ClassRule("safe"), 2: ClassRule("keyed", 2.5), 3: ClassRule("unsafe")}
+GRACE = 0.5
+
+
+def tried(name: str = "q1", ask: int = 1, **changes: Any) -> Try:
+    fields: dict[str, Any] = {
+        "request": name, "ask": ask, "number": 0, "router": "r1", "sent": 10.0, "wait": 0.9,
+        "answer": "served", "ended": 10.1, "server": "n1", "serial": 1,
+    }  # fmt: skip
+    return Try(**{**fields, **changes})
+
+
+def attempt(name: str = "q1", **changes: Any) -> Attempt:
+    fields: dict[str, Any] = {
+        "request": name, "server": "n1", "at": 10.01, "result": "hit", "ended": 10.09, "serial": 1,
+    }  # fmt: skip
+    return Attempt(**{**fields, **changes})
+
+
+def history(*records: Record, lives: tuple[Life, ...] = (Life("r1", 0.0, 0.1),)) -> History:
+    found = History(lives=list(lives))
+    for record in records:
+        found.add(record)
+    return found
+
+
+def rules(found: History) -> list[str]:
+    return [one.rule for one in judge(found, CLASSES, GRACE)]
+
+
+def test_a_day_as_it_should_be_breaks_nothing() -> None:
+    found = history(
+        tried(), attempt(),
+        tried("q2", ask=2, server="store", serial=1),
+        attempt("q2", server="store", result="served", effect=True),
+        tried("q3", answer="refused"), tried("q4", answer="failed"),
+        attempt("q4", result="open", serial=9),
+        tried("q5", answer="left"), tried("q6", answer="unsent"),
+        Told("r1", "n2", "draining", 9.0, 8.9), Had("r1", "n2", "draining", 8.9),
+        Flushed("n1", 9.0, 5, 5), Odd("n1", 9.0, "x"),
+    )  # fmt: skip
+    assert judge(found, CLASSES, GRACE) == []
+
+
+# Rule 1
+
+
+@pytest.mark.parametrize(
+    ("records", "text"),
+    [
+        ((tried(answer="none", ended=10.95),), "no answer within 900 ms"),
+        ((tried(answer="cut"), attempt()), "ended with no whole answer"),
+        ((tried(), attempt(), Extra("q1", "r1", 10.2)), "one more answer"),
+        ((tried(fault="value begins with b'q9'"), attempt()), "not made for it"),
+        ((tried(serial=7), attempt()), "no server made for it"),
+        (
+            (tried(), attempt("q9", serial=1), attempt(serial=2), tried("q9", serial=1)),
+            "no server made for it",
+        ),
+        ((tried(), attempt(result="miss")), "did not answer"),
+        ((tried(), attempt(fault="garble")), "did not answer"),
+        ((tried(), attempt(), attempt(at=10.2, serial=2)), "after its answer"),
+        ((tried(answer="refused"), attempt(at=10.3)), "after its answer"),
+        ((attempt("nobody"),), "no client asked"),
+        ((tried(crossed=10.05), attempt(at=10.02), attempt(at=10.08, serial=2)), "had been read"),
+    ],
+)
+def test_lost_requests_are_found(records: tuple[Record, ...], text: str) -> None:
+    broken = judge(history(*records), CLASSES, GRACE)
+    assert {one.rule for one in broken} == {"lost"}
+    assert any(text in one.text for one in broken)
+
+
+def test_what_fails_and_is_not_lost() -> None:
+    assert rules(history(tried(answer="cut"))) == []  # nothing was sent on for it
+    killed = Life("r1", 0.0, 0.1, told_to_end=10.05, wanted="KILL", exited=10.06, code=-9)
+    assert rules(history(tried(answer="cut"), attempt(), lives=(killed,))) == []
+    assert rules(history(tried(answer="none", ended=10.95), lives=(killed,))) == []
+    assert rules(history(tried(answer="unsent", crossed=10.05), attempt(at=10.0), lives=(killed,))) == []
+    elsewhere = replace(killed, router="r2")
+    assert rules(history(tried(answer="cut"), attempt(), lives=(elsewhere,))) == ["lost"]
+    long_ago = replace(killed, told_to_end=2.0, exited=2.0)
+    assert rules(history(tried(answer="cut"), attempt(), lives=(long_ago,))) == ["lost"]
+
+
+def test_a_planned_end_loses_nothing_and_a_router_that_ends_by_itself_has_crashed() -> None:
+    planned = Life("r1", 0.0, 0.1, told_to_end=10.05, wanted="TERM", exited=10.8, code=0)
+    assert rules(history(lives=(planned,))) == []
+    assert rules(history(tried(answer="cut"), attempt(), lives=(planned,))) == ["lost"]
+    assert rules(history(lives=(replace(planned, code=1),))) == ["lost"]
+    assert rules(history(lives=(Life("r1", 0.0, 0.1, exited=5.0, code=0),))) == ["lost"]
+
+
+# Rule 2
+
+
+@pytest.mark.parametrize(
+    ("ask", "first", "second", "broken"),
+    [
+        (2, "served", 2.4, False),
+        (2, "served", 2.6, True),
+        (2, "gone", 2.6, True),
+        (2, "open", 2.6, True),
+        (2, "busy", 2.6, False),
+        (3, "served", 0.1, True),
+        (3, "gone", 0.1, True),
+        (3, "busy", 0.1, False),
+        (1, "served", 9.0, False),
+    ],
+)
+def test_what_may_have_run_is_sent_again_only_as_its_class_allows(
+    ask: int, first: str, second: float, broken: bool
+) -> None:
+    found = history(
+        tried(ask=ask, answer="served", server="store", serial=2, ended=30.0, wait=30.0),
+        attempt(server="store", result=first, serial=1, at=10.0),
+        attempt(server="store", result="served", serial=2, at=10.0 + second),
+    )
+    assert rules(found) == (["twice"] if broken else [])
+
+
+def test_an_effect_that_happened_twice_is_found_within_its_window_too() -> None:
+    found = history(
+        tried(ask=2, server="store", serial=2, ended=12.0),
+        attempt(server="store", result="served", serial=1, effect=True),
+        attempt(server="store", result="served", serial=2, effect=True, at=11.0),
+    )
+    assert rules(found) == ["twice"]
+
+
+def test_an_unsafe_request_is_not_refused_once_it_may_have_run() -> None:
+    refused = tried(ask=3, answer="refused")
+    assert rules(history(refused, attempt(server="store", result="served"))) == ["twice"]
+    assert rules(history(refused, attempt(server="store", result="busy"))) == []
+    assert rules(history(tried(ask=2, answer="refused"), attempt(server="store", result="served"))) == []
+
+
+def test_a_miss_at_a_node_has_no_effect() -> None:
+    found = history(
+        tried(ask=3, server="store", serial=5),
+        attempt(result="miss"),
+        attempt(server="store", result="served", serial=5, at=10.05),
+    )
+    assert rules(found) == []
+
+
+# Rule 3
+
+
+def test_a_drain_heard_and_not_kept_is_found() -> None:
+    told = Told("r1", "n1", "draining", 9.0, 8.0)
+    assert rules(history(told, tried(), attempt(at=9.54))) == []
+    assert rules(history(told, tried(), attempt(at=9.56))) == ["late_drain"]
+    assert rules(history(replace_record(told, state="removed"), tried(), attempt(at=9.56))) == ["late_drain"]
+
+
+def replace_record(record: Told, **changes: Any) -> Told:
+    fields = {name: getattr(record, name) for name in Told.__struct_fields__}
+    return Told(**{**fields, **changes})
+
+
+def test_a_drain_counts_from_its_first_word_and_ends_with_the_next_start() -> None:
+    first = Told("r1", "n1", "draining", 9.0, 8.0)
+    again = Told("r1", "n1", "removed", 9.9, 9.8)
+    up = Told("r1", "n1", "up", 9.95, 9.9)
+    assert rules(history(first, again, tried(), attempt())) == ["late_drain"]
+    assert rules(history(first, again, up, tried(), attempt())) == []
+
+
+def test_another_router_and_a_new_process_have_not_been_told() -> None:
+    told = Told("r1", "n1", "draining", 5.0, 4.0)
+    assert rules(history(told, tried(router="r2"), attempt(), lives=(Life("r2", 0.0),))) == []
+    lives = (Life("r1", 0.0, told_to_end=6.0, wanted="KILL", exited=6.0), Life("r1", 7.0))
+    assert rules(history(told, tried(), attempt(), lives=lives)) == []
+
+
+def test_what_was_never_written_counts_as_told_after_six_seconds() -> None:
+    had = Had("r1", "n1", "draining", 3.0)
+    assert rules(history(had, tried(), attempt(at=9.5))) == []
+    assert rules(history(had, tried(), attempt(at=9.6))) == ["late_drain"]
+    # An older fact does not undo a newer one that came by the wire.
+    newer = Told("r1", "n1", "up", 5.0, 4.5)
+    assert rules(history(had, newer, tried(), attempt(at=9.6))) == []
+
+
+# Rule 4
+
+
+def test_a_node_pushed_over_is_found() -> None:
+    assert rules(history(Fallen("n1", 5.0, 2.0, 1.0))) == ["felled"]
+
+
+def test_counts_name_every_rule() -> None:
+    broken = judge(history(Fallen("n1", 5.0, 2.0, 1.0), attempt("nobody")), CLASSES, GRACE)
+    assert counts(broken) == {"lost": 1, "twice": 0, "late_drain": 0, "felled": 1}
+    assert [one.at for one in broken] == sorted(one.at for one in broken)
+
+
+# The emulator's own lag
+
+
+def lag(worst: float, **over: int) -> Lag:
+    buckets = [0] * (len(LAG_BOUNDS_MS) + 1)
+    buckets[0] = 1000
+    for bound, count in over.items():
+        buckets[LAG_BOUNDS_MS.index(float(bound.strip("_")))] = count
+    return Lag("nodes0", 5.0, worst, tuple(buckets))
+
+
+def test_an_emulator_in_time_may_judge() -> None:
+    verdict = judge_lag([lag(0.004, _4=5)], 5.0, 40.0)
+    assert (verdict.p99_ms, verdict.worst_ms, verdict.void) == (0.5, 4.0, "")
+
+
+def test_an_emulator_that_was_late_makes_the_run_void() -> None:
+    assert "late once" in judge_lag([lag(0.2)], 5.0, 40.0).void
+    assert "99th percentile" in judge_lag([lag(0.02, _20=100)], 5.0, 40.0).void
+    assert "no reading" in judge_lag([], 5.0, 40.0).void
+    assert "no reading" in judge_lag([lag(0.0)], 5.0, 40.0, begun=6.0).void
--- /dev/null
+++ b/tests/test_rehearsal.py
@@ -0,0 +1,378 @@
+"""Short rehearsals over sockets: every trouble seen to act, a naive router caught, nothing left behind.
+
+What is asserted holds on a slow machine as well: counts, order and who did what, never how fast.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+import uuid
+from collections.abc import Iterator
+from pathlib import Path
+
+import orjson
+import pytest
+import uvloop
+
+from holdgw.rehearsal.day import STORE, draw
+from holdgw.rehearsal.deployment import DeployError, run_command
+from holdgw.rehearsal.page import nice_step, render
+from holdgw.rehearsal.report import Report, make_report
+from holdgw.rehearsal.scenario import read_scenario
+from holdgw.rehearsal.stage import Played, StageError, play
+from holdgw.standins.records import Attempt
+
+ROOT = Path(__file__).resolve().parent.parent
+ROUTER = f"exec {sys.executable} -m holdgw.router"
+LIMIT_S = 90.0
+SMALL = """
+name = "small"
+length_s = {length}
+[load]
+rate = {rate}
+[fleet]
+nodes = {nodes}
+routers = 2
+[keys]
+count = 300
+[emulator]
+prelude_s = 1.0
+prelude_keys = 300
+worst_ms = 10000.0
+lag_ms = 1000.0
+"""
+
+
+def small(text: str = "", length: float = 4.0, rate: float = 60.0, nodes: int = 6) -> str:
+    return SMALL.format(length=length, rate=rate, nodes=nodes) + text
+
+
+def rehearse(text: str, command: str = ROUTER, seed: int = 1) -> tuple[Played, Report]:
+    day = draw(read_scenario(text, "test"), seed)
+    played = uvloop.run(asyncio.wait_for(play(day, command, ROOT), LIMIT_S))
+    return played, make_report(played)
+
+
+def trouble(kind: str, at: float, **fields: object) -> str:
+    lines = [f"{name} = {orjson.dumps(value).decode()}" for name, value in fields.items()]
+    return "\n".join(["[[trouble]]", f'kind = "{kind}"', f"at = {at}", *lines, ""])
+
+
+def test_a_quiet_day_is_served_and_its_report_is_whole() -> None:
+    played, report = rehearse(small())
+    body = orjson.loads(orjson.dumps(report.body))
+    for name in ("asked", "served", "in_aim", "refused", "failed", "service", "rules", "p50_ms", "p99_ms",
+                 "origin_fetches", "nodes", "routers"):  # fmt: skip
+        assert name in body
+    assert body["asked"] == sum(ask.at >= 0 for ask in played.day.asks)
+    assert body["served"] + body["refused"] + body["failed"] == body["asked"]
+    assert body["served"] > 0.8 * body["asked"]
+    assert set(body["rules"]) == {"lost", "twice", "late_drain", "felled"}
+    assert report.exit_code == 0
+    assert body["odd"] == []
+    assert len(body["nodes"]) == 6
+    assert all(router["memory_mb"] > 1 and router["descriptors"] > 3 for router in body["routers"].values())
+    assert {one.request for one in played.history.tries} >= {one.request for one in played.history.attempts}
+    page = render(report, played.usage, played.begun)
+    assert page.startswith("<!doctype html>")
+    assert page.count("<svg") == page.count("</svg>") == 6
+    assert "http://" not in page
+    assert "https://" not in page
+
+
+@pytest.fixture(scope="module")
+def nodes_in_trouble() -> tuple[Played, Report]:
+    return rehearse(
+        small(
+            trouble("pause", 1.0, nodes=["node000"], seconds=2.0)
+            + trouble("kill", 1.0, nodes=["node001"])
+            + trouble("drain", 1.0, nodes=["node002"], seconds=3.0)
+            + trouble("restart", 1.5, nodes=["node003"], down_s=0.3)
+            + trouble("replace", 1.5, nodes=["node004"], down_s=0.3, same_address=True)
+            + trouble("cold_start", 1.5, nodes=1)
+            + trouble("flush", 4.0, share=0.7)
+            + trouble("scan", 4.0, seconds=2.0, share=0.3)
+            + trouble("hot_caller", 4.0, seconds=2.0, share=0.4)
+            + "\n[discovery]\nnotice_s = [0.2, 0.4]\n",
+            length=7.0,
+            nodes=8,
+        )
+    )
+
+
+def at_node(played: Played, server: str) -> list[tuple[float, Attempt]]:
+    return [(one.at - played.begun, one) for one in played.history.attempts if one.server == server]
+
+
+def test_a_paused_node_answers_nothing_and_goes_on_with_what_it_held(
+    nodes_in_trouble: tuple[Played, Report],
+) -> None:
+    played, _ = nodes_in_trouble
+    answered = [one.ended - played.begun for _, one in at_node(played, "node000")]
+    assert any(at < 1.0 for at in answered)
+    assert not [at for at in answered if 1.5 < at < 2.9]
+    held = [one for at, one in at_node(played, "node000") if 1.1 < at < 2.9]
+    assert held, "discovery lists it still, so some is sent"
+    assert all(one.ended - played.begun >= 2.9 for one in held)
+    states = [one.state for one in played.history.had if one.server == "node000"]
+    assert states == []
+
+
+def test_nodes_die_drain_restart_join_and_are_replaced(nodes_in_trouble: tuple[Played, Report]) -> None:
+    played, report = nodes_in_trouble
+    states: dict[str, list[str]] = {}
+    for one in played.history.had:
+        if one.router == "router00":
+            states.setdefault(one.server, []).append(one.state)
+    assert states["node001"] == ["removed"]
+    assert states["node002"] == ["draining", "removed"]
+    assert states["node003"] == ["removed", "up"]
+    assert states["node004"] == ["removed"]
+    assert states["node008"] == ["up"]
+    assert states["node009"] == ["up"]
+    assert not [at for at, _ in at_node(played, "node001") if at > 1.5]
+    assert [one for _, one in at_node(played, "node002") if one.result == "busy"] or at_node(
+        played, "node002"
+    )
+    assert at_node(played, "node009")
+    assert report.exit_code == 0, report.broken[:3]
+
+
+def test_a_flush_amid_a_scan_amid_a_hot_caller_are_told_apart(
+    nodes_in_trouble: tuple[Played, Report],
+) -> None:
+    _, report = nodes_in_trouble
+    apart = report.body["told_apart"]
+    assert apart["scan"]["asked"] > 10
+    assert apart["scan"]["keys"] == apart["scan"]["asked"]
+    assert apart["hot_caller"]["asked"] > 10
+    assert len(apart["hot_caller"]["through"]) == 1
+    assert apart["flush"]["copies_gone"] > 20
+    assert apart["flush"]["misses_of_flushed"] > 5
+    assert apart["misses"]["never"] > 5
+    assert min(one.ended for one in report.attempts if one.missing == "flushed") >= 4.0
+    assert {fate.ask.source for fate in report.fates if fate.ask.at < 4.0} == {"usual"}
+    assert {"scan", "hot_caller"} <= set(report.body["windows"][1]["sources"])
+
+
+def test_spoilt_answers_a_slow_and_absent_store_and_a_burst() -> None:
+    played, report = rehearse(
+        small(
+            trouble("reset", 0.5, seconds=4.0, share=0.1, store=True)
+            + trouble("garble", 0.5, seconds=4.0, share=0.1)
+            + trouble("silence", 0.5, seconds=4.0, share=0.05)
+            + trouble("origin_slow", 0.5, seconds=1.0, factor=8.0)
+            + trouble("origin_down", 2.0, seconds=1.5)
+            + trouble("burst", 1.0, seconds=2.0, factor=2.0)
+            + trouble("discovery_late", 1.0, seconds=1.0, extra_s=1.0)
+            + trouble("discovery_stale", 1.0, seconds=1.0)
+            + trouble("discovery_down", 3.0, seconds=0.5)
+            + "\n[store]\nread_ms = 20.0\n",
+            length=5.0,
+        )
+    )
+    spoilt = report.body["spoilt"]
+    assert set(spoilt) == {"reset", "garble", "silence"}
+    reached = [(at, one) for at, one in at_node(played, STORE) if one.result not in ("gone", "open")]
+    assert not [at for at, _ in reached if 2.1 < at < 3.4]
+    assert [at for at, _ in reached if at > 3.6]
+    slow = [one.ended - one.at for at, one in reached if 0.6 < at < 1.3 and one.result == "served"]
+    usual = [one.ended - one.at for at, one in reached if at < 0.4 and one.result == "served"]
+    assert sorted(slow)[len(slow) // 2] > 3 * sorted(usual)[len(usual) // 2]
+    assert report.body["sources"]["burst"]["asked"] > 30
+    assert report.exit_code == 0, report.broken[:3]
+
+
+def test_routers_restart_as_planned_die_and_reload_with_nothing_lost() -> None:
+    played, report = rehearse(
+        small(
+            trouble("router_reload", 0.5, routers=2)
+            + trouble("drain", 2.5, nodes=["node000"], seconds=3.0)
+            + trouble("router_restart", 1.5, routers=1, signal="TERM")
+            + trouble("router_restart", 4.0, routers=1, signal="KILL")
+            + "\n[discovery]\nnotice_s = [0.2, 0.4]\n[clients]\nfront_notice_s = [0.3, 0.5]\n",
+            length=6.0,
+        )
+    )
+    assert report.exit_code == 0, report.broken[:3]
+    ends = [life.wanted for life in played.history.lives if life.exited is not None]
+    assert ends.count("KILL") == 1
+    assert ends.count("TERM") == 3  # one planned, and two at the day's end
+    assert all(life.code == 0 for life in played.history.lives if life.wanted == "TERM")
+    told = {one.router for one in played.history.told if one.server == "node000" and one.state == "draining"}
+    assert told == {"router00", "router01"}, "also by the address of discovery that the reload named"
+
+
+def test_an_ask_mode_discovery_serves_as_well() -> None:
+    played, report = rehearse(
+        small(
+            trouble("cold_start", 0.5, nodes=1) + '\n[discovery]\nmode = "ask"\nnotice_s = [0.1, 0.2]\n',
+            length=3.0,
+        )
+    )
+    assert report.exit_code == 0, report.broken[:3]
+    assert {one.router for one in played.history.told if one.server == "node006"} == {"router00", "router01"}
+
+
+FRESH = small(
+    trouble("cold_start", 1.0, nodes=1)
+    + "\n[node]\ncold_share = 0.04\nwarm_s = 12.0\nfall_multiple = 2.0\nfall_s = 1.0\nspeed = [1.0, 1.0]\n"
+    + "[discovery]\nnotice_s = [0.0, 0.1]\n",
+    length=7.0,
+    rate=50.0,
+    nodes=4,
+)
+
+
+def test_a_naive_router_fells_a_fresh_node_and_ours_does_not() -> None:
+    _, naive = rehearse(FRESH, f"exec {sys.executable} -m tests.naive_router")
+    assert naive.body["rules"]["felled"] == 1
+    assert naive.exit_code == 1
+    assert any("node004" in one.text for one in naive.broken)
+    _, ours = rehearse(FRESH)
+    assert ours.body["rules"]["felled"] == 0
+
+
+def test_an_emulator_that_was_late_marks_the_run_void() -> None:
+    text = small(trouble("emulator_stall", 1.0, seconds=0.3)).replace("10000.0", "200.0")
+    _, report = rehearse(text)
+    assert "late once" in report.body["void"]
+    assert report.exit_code == 3
+
+
+def test_a_router_that_ends_by_itself_has_crashed_and_one_that_never_starts_ends_the_day() -> None:
+    _, report = rehearse(small(length=5.0), f"exec {sys.executable} -m tests.crashing_router")
+    assert report.exit_code == 1
+    assert any("ended by itself with code 7" in one.text for one in report.broken)
+    with pytest.raises(StageError, match=r"router0\d did not get ready: no such luck"):
+        rehearse(small(), "echo no such luck; exit 3")
+
+
+# What is left behind
+
+
+@pytest.fixture
+def marked() -> Iterator[str]:
+    yield (mark := uuid.uuid4().hex)
+    for pid in of_mark(mark):
+        os.kill(pid, signal.SIGKILL)
+
+
+def of_mark(mark: str) -> list[int]:
+    """Processes that carry the mark in their environment, but this one."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit() and int(entry.name) != os.getpid():
+            try:
+                if mark.encode() in (entry / "environ").read_bytes():
+                    found.append(int(entry.name))
+            except OSError:
+                continue
+    return found
+
+
+def started(mark: str, tmp_path: Path) -> subprocess.Popen[str]:
+    """The command line amid a day: routers run, and clients ask."""
+    scenario = tmp_path / "day.toml"
+    scenario.write_text(small(length=60.0))
+    deploy = tmp_path / "deploy" / "balancer.toml"
+    deploy.parent.mkdir()
+    deploy.write_text(f'run = "cd {ROOT} && {ROUTER}"')
+    words = ("rehearse", str(scenario), "--deploy", str(deploy), "--logs", str(tmp_path / "logs"))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "holdgw", *words],
+        env={**os.environ, "HOLDGW_TEST_MARK": mark},
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    due = time.monotonic() + LIMIT_S
+    while time.monotonic() < due and len(of_mark(mark)) < 6:  # itself, three workers or more, two routers
+        time.sleep(0.05)
+    time.sleep(1.0)  # some of the day; nothing below needs it to be so much
+    return process
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_ctrl_c_ends_every_process(number: signal.Signals, marked: str, tmp_path: Path) -> None:
+    process = started(marked, tmp_path)
+    process.send_signal(number)
+    _, told = process.communicate(timeout=LIMIT_S)
+    assert process.returncode == 130, told
+    assert "every process that was started is ended" in told
+    assert of_mark(marked) == []
+
+
+def test_a_command_line_that_is_killed_outright_leaves_nothing(marked: str, tmp_path: Path) -> None:
+    process = started(marked, tmp_path)
+    process.kill()
+    process.communicate(timeout=LIMIT_S)
+    due = time.monotonic() + LIMIT_S
+    while of_mark(marked) and time.monotonic() < due:
+        time.sleep(0.05)
+    assert of_mark(marked) == []
+
+
+# The command line and the deploy file
+
+
+def holdgw(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "holdgw", *words], capture_output=True, text=True, cwd=ROOT, timeout=LIMIT_S
+    )
+
+
+@pytest.mark.parametrize(
+    ("words", "part"),
+    [
+        (("rehearse", "no-such"), "no-such"),
+        (("rehearse", "quiet", "--for", "0"), "--for"),
+        (("rehearse", "quiet", "--deploy", "nowhere/x.toml"), "nowhere/x.toml"),
+        (("rehearse", "quiet", "--json", "nowhere/x.json"), "nowhere/x.json"),
+    ],
+)
+def test_what_cannot_be_used_is_one_line_and_exit_2(words: tuple[str, ...], part: str) -> None:
+    done = holdgw(*words)
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1
+    assert part in done.stderr
+
+
+def test_the_command_line_plays_and_writes_its_report(tmp_path: Path) -> None:
+    scenario = tmp_path / "day.toml"
+    scenario.write_text(small(length=9.0))
+    out, page = tmp_path / "out.json", tmp_path / "out.html"
+    words = ("rehearse", str(scenario), "--for", "2", "--seed", "5", "--json", str(out), "--html", str(page))
+    done = holdgw(*words, "--deploy", str(_deploy(tmp_path)))
+    assert done.returncode == 0, done.stderr
+    body = orjson.loads(out.read_bytes())
+    assert (body["seed"], body["length_s"]) == (5, 2.0)
+    assert "rules: lost 0, twice 0, late_drain 0, felled 0" in done.stdout
+    assert "<svg" in page.read_text()
+
+
+def _deploy(folder: Path) -> Path:
+    path = folder / "deploy" / "balancer.toml"
+    path.parent.mkdir()
+    path.write_text(f'run = "cd {ROOT} && {ROUTER}"')
+    return path
+
+
+def test_a_deploy_file_without_a_run_names_the_field(tmp_path: Path) -> None:
+    path = tmp_path / "d.toml"
+    path.write_text("run = 5")
+    with pytest.raises(DeployError, match=r"d\.toml: run"):
+        run_command(path)
+    path.write_text("run = ")
+    with pytest.raises(DeployError, match=r"d\.toml"):
+        run_command(path)
+
+
+def test_grid_lines_are_round() -> None:
+    assert [nice_step(most) for most in (0, 0.9, 4, 37, 1000)] == [1.0, 0.5, 1, 10, 500]
--- /dev/null
+++ b/tests/test_scenario.py
@@ -0,0 +1,252 @@
+"""Scenario files and drawn days: clear errors, the same day from the same seed, troubles where they
+belong.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from holdgw.rehearsal import scenario as s
+from holdgw.rehearsal.channel import MOST_BYTES, Channel, Setup
+from holdgw.rehearsal.checker import History
+from holdgw.rehearsal.counting import Fate, count, fates, value, worst_window
+from holdgw.rehearsal.day import Ask, draw, idempotency_key, load_at, request_id, store_spec
+from holdgw.rehearsal.scenario import Scenario, ScenarioError, load_scenario, read_scenario, shipped
+from holdgw.standins.records import Try
+
+BASE = 'name = "x"\nlength_s = 20.0\n[load]\nrate = 50.0\n'
+
+
+def day_of(text: str = "") -> Scenario:
+    return read_scenario(BASE + text, "x.toml")
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("name = ", ("x.toml", "Invalid value")),
+        ('name = "x"\nlength_s = 5.0', ("x.toml", "load")),
+        ('name = "x"\nlength_s = "5"\n[load]\nrate = 1.0', ("length_s", "float")),
+        ('name = "x"\nlength_s = 5.0\n[load]\nrate = 0.0', ("load.rate", "> 0")),
+        (BASE + "[fleet]\nnodez = 3", ("fleet", "nodez")),
+        (BASE + "[fleet]\nnodes = 0", ("fleet.nodes", ">= 1")),
+        (BASE + "[fleet]\nsame_ms = [3.0, 1.0]", ("fleet.same_ms", "3 is over 1")),
+        (BASE + '[[trouble]]\nkind = "quake"\nat = 1', ("trouble[0]", "quake")),
+        (BASE + '[[trouble]]\nkind = "pause"\nat = 1', ("trouble[0]", "seconds")),
+        (BASE + '[[trouble]]\nkind = "pause"\nat = 30\nseconds = 1', ("trouble[0]", "at", "beyond")),
+        (BASE + '[[trouble]]\nkind = "kill"\nat = 1\nnodes = 99', ("trouble[0]", "nodes", "99 of 36")),
+        (BASE + '[[trouble]]\nkind = "kill"\nat = 1\nnodes = ["node99"]', ("trouble[0]", "node99")),
+        (BASE + '[[trouble]]\nkind = "flush"\nat = 1\nshare = 1.5', ("trouble[0].share", "<= 1")),
+        (
+            BASE + '[[trouble]]\nkind = "burst"\nat = 1\nseconds = 1\nfactor = 2\ntenant = "me"',
+            ("tenant", "me"),
+        ),
+        (BASE + '[[trouble]]\nkind = "router_restart"\nat = 1\nrouters = 9', ("routers", "more than")),
+        (
+            BASE + '[[tenants]]\nname = "a"\nshare = 1\n[[tenants]]\nname = "a"\nshare = 1',
+            ("tenants", "twice"),
+        ),
+        (
+            BASE + '[[classes]]\nname = "a"\nshare = 1\nwork_ms = 1\naim_ms = 9\ngive_up_ms = 5',
+            ("classes[0].aim_ms", "over"),
+        ),
+        (
+            BASE
+            + '[[classes]]\nname = "a"\nshare = 1\nwork_ms = 1\naim_ms = 1\ngive_up_ms = 5\neffect = "keyed"',
+            ("classes[0].window_ms",),
+        ),
+        (BASE + "shape = [[5, 1.0], [1, 2.0]]", ("load.shape", "rise")),
+        (BASE + "shape = [[0, 0.0]]", ("load.shape", "above 0")),
+    ],
+)
+def test_a_file_that_cannot_be_used_names_file_and_field_in_one_line(
+    text: str, parts: tuple[str, ...]
+) -> None:
+    with pytest.raises(ScenarioError) as caught:
+        read_scenario(text, "x.toml")
+    line = str(caught.value)
+    assert "\n" not in line
+    assert line.startswith("x.toml: ")
+    for part in parts:
+        assert part in line
+
+
+def test_a_file_that_is_not_there_names_those_that_ship(tmp_path: Path) -> None:
+    with pytest.raises(ScenarioError, match="release-morning"):
+        load_scenario("no-such")
+    with pytest.raises(ScenarioError, match="No such file"):
+        load_scenario(tmp_path / "none.toml")
+    (tmp_path / "binary.toml").write_bytes(b"\xff\xfe\x00")
+    with pytest.raises(ScenarioError, match="is no text"):
+        load_scenario(tmp_path / "binary.toml")
+
+
+def test_the_shipped_ones_are_whole() -> None:
+    assert {"quiet", "release-morning", "storm", "rolling-restart", "incident-130"} <= set(shipped())
+    for name in shipped():
+        scenario = load_scenario(name)
+        assert scenario.name == name
+        assert scenario.about
+    incident = load_scenario("incident-130")
+    assert (incident.fleet.nodes, incident.fleet.routers, incident.load.rate) == (130, 24, 1300.0)
+    kinds = [s.kind_of(trouble) for trouble in load_scenario("storm").trouble]
+    assert len(set(kinds)) >= 5
+
+
+def test_the_same_seed_is_the_same_day_and_another_is_another() -> None:
+    scenario = load_scenario("storm").cut(15.0)
+    assert draw(scenario, 3) == draw(scenario, 3)
+    assert draw(scenario, 3).asks != draw(scenario, 4).asks
+
+
+def test_a_trouble_moves_no_arrival_of_the_day_without_it() -> None:
+    plain = draw(day_of(), 1)
+    scanned = draw(day_of('[[trouble]]\nkind = "scan"\nat = 5\nseconds = 5\nshare = 0.5'), 1)
+    assert [ask.at for ask in plain.asks] == [ask.at for ask in scanned.asks]
+    for a, b in zip(plain.asks, scanned.asks, strict=True):
+        assert a == b or (b.source == "scan" and 5 <= b.at < 10)
+
+
+def test_troubles_of_the_load_are_as_stated() -> None:
+    text = (
+        '[[trouble]]\nkind = "scan"\nat = 5\nseconds = 5\nshare = 0.5\n'
+        '[[trouble]]\nkind = "hot_caller"\nat = 5\nseconds = 5\nshare = 0.25\n'
+        '[[trouble]]\nkind = "burst"\nat = 10\nseconds = 10\nfactor = 3\ntenant = "public"\n'
+    )
+    scenario = msgspec.structs.replace(day_of(text), load=s.Load(rate=400.0))
+    asks = [ask for ask in draw(scenario, 1).asks if ask.at >= 0]
+
+    def rate(a: float, b: float) -> float:
+        return sum(a <= ask.at < b for ask in asks) / (b - a)
+
+    assert rate(0, 5) == pytest.approx(400, rel=0.1)
+    assert rate(5, 10) == pytest.approx(400, rel=0.1)
+    assert rate(10, 20) == pytest.approx(400 * (1 + 0.63 * 2), rel=0.1)
+    amid = [ask for ask in asks if 5 <= ask.at < 10]
+    hot = [ask for ask in amid if ask.source == "hot_caller"]
+    assert len(hot) / len(amid) == pytest.approx(0.25, abs=0.04)
+    assert len({ask.router for ask in hot}) == 1
+    once = [ask.key for ask in amid if ask.key.startswith(b"once-")]
+    assert len(once) == len(set(once))
+    assert len(once) / len(amid) == pytest.approx(0.5 * 0.97, abs=0.04)
+    burst = [ask for ask in asks if ask.source == "burst"]
+    assert {ask.tenant for ask in burst} == {0}
+    assert all(10 <= ask.at < 20 for ask in burst)
+
+
+def test_a_shape_is_straight_between_its_points() -> None:
+    scenario = day_of("shape = [[2, 1.0], [4, 3.0]]")
+    assert [load_at(scenario, at) for at in (0, 2, 3, 4, 9)] == [50, 50, 100, 150, 150]
+
+
+def test_beyond_a_quota_worth_is_little() -> None:
+    text = '[[tenants]]\nname = "a"\nshare = 1\nquota_per_s = 20'
+    asks = [ask for ask in draw(day_of(text), 1).asks if ask.at >= 0]
+    within = sum(not ask.over for ask in asks) / 20.0
+    assert 15 <= within <= 20.5
+
+
+def test_ids_are_new_with_every_try_and_idempotency_keys_are_not() -> None:
+    assert request_id(1, 5, 0) != request_id(1, 5, 1)
+    assert request_id(1, 5, 0) == request_id(1, 5, 0)
+    assert request_id(1, 5, 0) != request_id(2, 5, 0)
+    assert idempotency_key(1, 5) != idempotency_key(1, 6)
+
+
+def test_the_time_line_of_nodes_never_reuses_one_that_left() -> None:
+    text = (
+        '[[trouble]]\nkind = "replace"\nat = 1\nnodes = 3\nsame_address = true\n'
+        '[[trouble]]\nkind = "drain"\nat = 2\nnodes = 20\nseconds = 3\n'
+        '[[trouble]]\nkind = "cold_start"\nat = 3\nnodes = 2\n'
+        '[[trouble]]\nkind = "kill"\nat = 10\nnodes = 9\n'
+    )
+    day = draw(day_of(text), 1)
+    killed = [step.target for step in day.steps if step.verb == "kill"]
+    assert len(killed) == len(set(killed)) == 32
+    created = [step.target for step in day.steps if step.verb == "create"]
+    assert created == ["node036", "node037", "node038", "node039", "node040"]
+    assert [step.args["instead"] for step in day.steps if step.verb == "create"][:3] == killed[:3]
+    assert [step.at for step in day.steps] == sorted(step.at for step in day.steps)
+
+
+def test_a_day_cut_short_loses_the_troubles_past_its_end() -> None:
+    scenario = load_scenario("storm").cut(14.5)
+    assert scenario.length_s == 14.5
+    assert all(trouble.at < 14.5 for trouble in scenario.trouble)
+    assert all(step.at < 14.5 for step in draw(scenario, 1).steps)
+
+
+def test_the_store_does_what_its_rate_says() -> None:
+    scenario = day_of("[store]\nper_s = 77.0\nread_ms = 40.0")
+    spec = store_spec(scenario)
+    assert spec.slots / spec.read_s == pytest.approx(77.0)
+
+
+# Counting
+
+
+def ask(number: int, at: float, cls: int = 0, tenant: int = 0, over: bool = False) -> Ask:
+    return Ask(number, at, cls, tenant, b"k", "usual", "a", 0.5, "", 0.8, 0.5, True, 1.0, False, over)
+
+
+def test_an_ask_counts_once_with_all_its_tries_from_its_first_arrival() -> None:
+    tries = [
+        Try("a", 1, 0, "r", 101.0, 0.9, "refused", 101.05),
+        Try("b", 1, 1, "r", 101.1, 0.9, "served", 101.25, server="n", serial=1),
+        Try("c", 2, 0, "r", 102.0, 0.9, "failed", 102.9),
+        Try("d", 3, 0, "r", 103.0, 0.9, "served", 103.1, fault="not its value"),
+    ]
+    found = fates([ask(1, 1.0), ask(2, 2.0), ask(3, 3.0), ask(4, 4.0)], tries, begun=100.0)
+    assert [(fate.outcome, fate.tries) for fate in found] == [
+        ("served", 2),
+        ("failed", 1),
+        ("failed", 1),
+        ("failed", 0),
+    ]
+    assert found[0].took == pytest.approx(0.25)
+    assert [one.took for one in found[1:]] == [None] * 3
+
+
+def test_worth_is_full_in_the_aim_less_when_late_and_little_beyond_the_quota() -> None:
+    classes = load_scenario("quiet").classes
+    got = [
+        value(Fate(one, took=took), classes)
+        for one, took in ((ask(1, 0), 0.3), (ask(1, 0), 0.31), (ask(1, 0, over=True), 0.1), (ask(1, 0), None))
+    ]
+    assert got == [(3.0, 3.0), (3.0, 0.75), (pytest.approx(0.15), pytest.approx(0.15)), (3.0, 0.0)]
+    assert value(Fate(ask(1, 0), took=1.3), classes) == (3.0, 0.0)
+
+
+def test_service_weighs_the_worst_as_the_brief_says() -> None:
+    classes = load_scenario("quiet").classes
+    found = [Fate(ask(i, i * 0.1, tenant=i % 2), took=0.1) for i in range(400)]
+    for fate in found:
+        if fate.ask.tenant == 1 and 10 <= fate.ask.at < 20:
+            fate.took = None
+    window, window_at = worst_window(found, classes, 40.0)
+    assert (round(window, 6), window_at) == (0.5, 10.0)
+    counted = count(found, History(), classes, ["public", "municipal"], 40.0, 0.0, {})
+    whole, tenant = 350 / 400, 150 / 200
+    expected = 0.55 * whole + 0.15 * 0.5 + 0.05 * whole + 0.25 * tenant
+    assert counted.service == pytest.approx(expected - counted.deductions["late_fail"], abs=1e-9)
+    assert counted.worst_tenant[0] == "municipal"
+    assert counted.worst_tenant[1] == pytest.approx(tenant)
+
+
+# The channel
+
+
+def test_a_frame_out_of_bounds_is_refused_and_a_scenario_survives_the_way() -> None:
+    took: list[object] = []
+    channel = Channel(took.append, lambda: None)
+    setup = Setup("nodes", 0, 1, "nodes0", load_scenario("storm"), 7, "127.0.0.1")
+    frame = msgspec.msgpack.encode(setup)
+    data = len(frame).to_bytes(4, "big") + frame
+    for i in range(0, len(data), 100):
+        channel.data_received(data[i : i + 100])
+    assert took == [setup]
+    with pytest.raises(ValueError, match="a frame of"):
+        channel.data_received((MOST_BYTES + 1).to_bytes(4, "big"))
--- /dev/null
+++ b/tests/test_standin_models.py
@@ -0,0 +1,413 @@
+"""What stand-ins decide, with an injected clock: work, warmth, falls, copies, repeats, the list."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from holdgw.standins.chance import lognormal, unit
+from holdgw.standins.faults import Fault, Shares
+from holdgw.standins.keeping import Keeping, Missing
+from holdgw.standins.node_model import Done, Job, Kind, NodeModel, NodeSpec, Result
+from holdgw.standins.registry_model import Entry, RegistryModel, State
+from holdgw.standins.store_model import Answer, Filled, Order, StoreModel, StoreSpec
+from holdgw.standins.work import Work, WorkSpec
+
+WARM = NodeSpec(work=WorkSpec(cores=1, slots=4, queue=3))
+COLD = WorkSpec(cores=1, slots=4, queue=100, cold_share=0.25, warm_s=8.0)
+
+
+def test_a_name_has_one_number_and_names_do_not_run_together() -> None:
+    assert unit(1, "work", "r1") == unit(1, "work", "r1")
+    assert (
+        len({unit(1, "work", "r1"), unit(2, "work", "r1"), unit(1, "workr", "1"), unit(1, "work", b"r2")})
+        == 4
+    )
+    drawn = sorted(unit(7, i) for i in range(4000))
+    assert max(abs(u - (i + 0.5) / 4000) for i, u in enumerate(drawn)) < 0.03
+
+
+def test_lognormal_has_its_mean_and_spread() -> None:
+    drawn = [lognormal((i + 0.5) / 20000, 0.05, 0.5) for i in range(20000)]
+    mean = sum(drawn) / len(drawn)
+    spread = math.sqrt(sum((x - mean) ** 2 for x in drawn) / len(drawn)) / mean
+    assert mean == pytest.approx(0.05, rel=0.01)
+    assert spread == pytest.approx(0.5, rel=0.03)
+    assert lognormal(0.0, 1.0, 0.5) > 0
+
+
+# Work
+
+
+def test_one_item_takes_its_work_and_two_share_the_core() -> None:
+    work: Work[str] = Work(WorkSpec(cores=1, slots=2, queue=1), 10.0)
+    assert work.submit("a", 0.1)
+    assert work.submit("b", 0.1)
+    assert work.submit("waits", 0.05)
+    assert not work.submit("turned away", 0.1)
+    assert [(round(at, 9), item) for at, _, item in work.advance(10.199)] == []
+    ended = [(round(at, 9), round(began, 9), item) for at, began, item in work.advance(11.0)]
+    assert ended == [(10.2, 10.0, "a"), (10.2, 10.0, "b"), (10.25, 10.2, "waits")]
+
+
+def test_two_cores_do_two_items_at_full_speed_each() -> None:
+    work: Work[str] = Work(WorkSpec(cores=2, slots=4, queue=0, speed=2.0), 0.0)
+    for name in "ab":
+        work.submit(name, 0.1)
+    assert [at for at, _, _ in work.advance(1.0)] == [pytest.approx(0.05)] * 2
+
+
+def test_a_cold_start_does_its_share_and_is_warm_in_time() -> None:
+    work: Work[str] = Work(COLD, 0.0, cold=True)
+    assert work.capacity(0.0) == 0.25
+    assert work.capacity(4.0) == pytest.approx(0.625)
+    assert work.capacity(8.0) == 1.0
+    work.submit("a", 0.25 * 2 + 0.75 / 8 * 2)  # the integral of the ramp over its first 2 s
+    assert work.next_due() == pytest.approx(2.0)
+
+
+def test_holding_too_many_costs_efficiency() -> None:
+    spec = WorkSpec(cores=1, slots=1, queue=100, thrash=0.5, thrash_at=2)
+    work: Work[int] = Work(spec, 0.0)
+    for i in range(6):
+        work.submit(i, 0.1)
+    first = work.advance(10.0)[0]
+    assert first.at == pytest.approx(0.1 * (1 + 0.5 * 4 / 2))
+
+
+PLANS = st.lists(
+    st.tuples(st.floats(0, 3), st.floats(0.001, 0.5), st.one_of(st.none(), st.floats(0.01, 1.0))),
+    min_size=1,
+    max_size=25,
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(plan=PLANS, steps=st.integers(1, 40), cold=st.booleans())
+def test_the_end_does_not_depend_on_how_often_one_looks(
+    plan: list[tuple[float, float, float | None]], steps: int, cold: bool
+) -> None:
+    def play(looks: int) -> dict[int, float]:
+        work: Work[int] = Work(COLD, 0.0, cold)
+        ends: dict[int, float] = {}
+        now = 0.0
+        for i, (gap, size, pause) in enumerate(plan):
+            for k in range(1, looks + 1):
+                ends |= {item: at for at, _, item in work.advance(now + gap * k / looks)}
+            now += gap
+            if pause:
+                work.pause(now + pause)
+            work.submit(i, size)
+        ends |= {item: at for at, _, item in work.advance(now + 1000)}
+        return ends
+
+    once, often = play(1), play(steps)
+    assert once.keys() == often.keys() == set(range(len(plan)))
+    for item, at in once.items():
+        assert often[item] == pytest.approx(at, abs=1e-6)
+
+
+@settings(max_examples=100, deadline=None)
+@given(plan=PLANS, cold=st.booleans())
+def test_no_more_work_is_done_than_there_is_capacity(
+    plan: list[tuple[float, float, float | None]], cold: bool
+) -> None:
+    work: Work[float] = Work(COLD, 0.0, cold)
+    now = done = paused = 0.0
+    paused_until = 0.0
+    for gap, size, pause in plan:
+        now += gap
+        done += sum(item for _, _, item in work.advance(now))
+        if pause:
+            paused += max(now + pause - max(paused_until, now), 0.0)
+            paused_until = max(paused_until, now + pause)
+            work.pause(now + pause)
+        work.submit(size, size)
+    due = work.next_due()
+    assert due is not None
+    ended = work.advance(due + 1e-9)
+    assert ended, "next_due tells when the next item ends"
+    done += sum(item for _, _, item in ended)
+    span = min(due, COLD.warm_s)
+    ramp = 0.25 * span + 0.75 * span * span / (2 * COLD.warm_s) if cold else span
+    most = ramp + max(due - COLD.warm_s, 0.0)
+    assert done <= most + 1e-6
+
+
+# Copies
+
+
+def test_least_recently_used_goes_first_and_the_reason_is_known() -> None:
+    keeping = Keeping(memory=300, lasts=10.0)
+    for key in (b"a", b"b", b"c"):
+        keeping.put(key, 100, 0.0)
+    assert keeping.look(b"a", 1.0) == 100
+    keeping.put(b"d", 100, 1.0)
+    assert keeping.look(b"b", 1.0) is None
+    assert keeping.why(b"b") is Missing.EVICTED
+    assert keeping.why(b"never") is Missing.NEVER
+    assert keeping.void(b"c")
+    assert not keeping.void(b"c")
+    assert keeping.why(b"c") is Missing.VOIDED
+    assert keeping.look(b"a", 10.0) is None
+    assert keeping.why(b"a") is Missing.EXPIRED
+    assert keeping.used == 100
+
+
+def test_a_flush_takes_the_same_share_of_keys_at_every_node() -> None:
+    nodes = [Keeping(1 << 20) for _ in range(2)]
+    keys = [b"key-%d" % i for i in range(1000)]
+    for node in nodes:
+        for key in keys:
+            node.put(key, 10, 0.0)
+        assert 650 <= node.flush(0.7, seed=3, serial=1) <= 750
+    assert [key in nodes[0] for key in keys] == [key in nodes[1] for key in keys]
+    gone = next(key for key in keys if key not in nodes[0])
+    assert nodes[0].why(gone) is Missing.FLUSHED
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 30), st.integers(1, 120)), max_size=80))
+def test_memory_is_never_exceeded(puts: list[tuple[int, int]]) -> None:
+    keeping = Keeping(memory=100)
+    for key, size in puts:
+        keeping.put(b"%d" % key, size, 0.0)
+        assert keeping.used <= 100
+    sizes = [keeping.look(b"%d" % key, 0.0) for key in {key for key, _ in puts}]
+    assert keeping.used == sum(size for size in sizes if size is not None)
+
+
+# Mirror nodes
+
+
+def read(name: str, key: bytes = b"k", work: float = 0.05) -> Job:
+    return Job(Kind.READ, name.encode(), key, work, 100)
+
+
+def results(done: list[Done]) -> list[tuple[bytes, Result]]:
+    return [(end.job.id, end.result) for end in done]
+
+
+def test_a_node_keeps_only_what_the_store_answered_for_a_request_that_missed_here() -> None:
+    node = NodeModel(WARM, 0.0)
+    node.arrive(0.0, read("r1"))
+    (miss,) = node.advance(1.0)
+    assert (miss.result, miss.missing) == (Result.MISS, Missing.NEVER)
+    assert not node.stored(1.0, b"another", b"k", 100)
+    assert not node.stored(1.0, b"r1", b"other-key", 100)
+    assert node.stored(1.0, b"r1", b"k", 100)
+    node.arrive(1.0, read("r2"))
+    assert results(node.advance(2.0)) == [(b"r2", Result.HIT)]
+
+
+def test_a_second_miss_while_a_fetch_is_out_says_so_and_no_longer_than_its_lease() -> None:
+    node = NodeModel(WARM, 0.0)
+    seen = []
+    for i, at in enumerate((0.0, 0.2, 3.0)):
+        node.arrive(at, read(f"r{i}"))
+        seen += [end.result for end in node.advance(at + 0.15)]
+    assert seen == [Result.MISS, Result.PENDING, Result.MISS]
+
+
+def test_a_node_turns_away_what_its_line_cannot_hold_and_cancels_stop_nothing() -> None:
+    node = NodeModel(replace(WARM, miss_share=1.0), 0.0)
+    turned = []
+    for i in range(9):
+        turned += results(node.arrive(0.0, read(f"r{i}")))
+    assert turned == [(b"r7", Result.BUSY), (b"r8", Result.BUSY)]
+    assert len(node.advance(0.5)) == 7  # nobody waits for them, and they are worked off all the same
+
+
+def test_a_write_has_no_business_at_a_node() -> None:
+    node = NodeModel(WARM, 0.0)
+    node.keeping.put(b"k", 100, 0.0)
+    node.arrive(0.0, Job(Kind.WRITE, b"w", b"k", 0.05))
+    assert results(node.advance(1.0)) == [(b"w", Result.MISS)]
+    assert b"k" in node.keeping
+
+
+def test_a_paused_node_is_silent_and_then_goes_on_with_all_it_held() -> None:
+    node = NodeModel(replace(WARM, miss_share=1.0), 0.0)
+    node.arrive(0.0, read("before", work=0.05))
+    node.pause(0.02, 3.0)
+    for i in range(9):
+        assert node.arrive(1.0, read(f"r{i}")) == [], "not even a refusal"
+    assert node.arrive(1.5, Job(Kind.PROBE, b"probe")) == []
+    assert node.advance(3.01) == []
+    assert node.next_due() == pytest.approx(3.02)
+    ended = node.advance(9.0)
+    at = {end.job.id: (round(end.at, 6), end.result) for end in ended}
+    assert at[b"before"][0] >= 3.05
+    assert at[b"before"][1] is Result.MISS
+    assert sum(result is Result.BUSY for _, result in at.values()) == 4  # three in work, three wait, of ten
+    assert len(at) == 11
+
+
+def test_draining_takes_nothing_new_and_finishes_what_there_is() -> None:
+    node = NodeModel(WARM, 0.0)
+    node.arrive(0.0, read("held"))
+    node.draining = True
+    assert results(node.arrive(0.0, read("late"))) == [(b"late", Result.BUSY)]
+    assert results(node.advance(1.0)) == [(b"held", Result.MISS)]
+
+
+def fresh_node(share: float, seconds: float) -> NodeModel:
+    """A cold node, sent `share` of a warm one's capacity evenly."""
+    spec = NodeSpec(
+        work=replace(COLD, cold_share=0.1, warm_s=16.0), fall_multiple=2.0, fall_s=2.0, miss_share=1.0
+    )
+    node = NodeModel(spec, 0.0, cold=True)
+    work = 0.04
+    count = int(seconds * share / work)
+    for i in range(count):
+        node.arrive(i * work / share, read(f"r{i}", work=work))
+    return node
+
+
+def test_a_cold_node_sent_its_full_load_falls_and_stays_down() -> None:
+    node = fresh_node(share=0.6, seconds=8.0)
+    assert node.fell is not None
+    assert node.fell.sent > node.fell.most
+    assert node.arrive(100.0, read("later")) == []
+    assert node.advance(200.0) == []
+    assert node.next_due() is None
+
+
+def test_a_cold_node_sent_what_it_can_do_stands() -> None:
+    assert fresh_node(share=0.12, seconds=8.0).fell is None
+
+
+def test_a_warm_node_is_never_pushed_over() -> None:
+    node = NodeModel(replace(WARM, fall_multiple=0.1), 0.0)
+    for i in range(200):
+        node.arrive(i * 0.01, read(f"r{i}"))
+    assert node.fell is None
+
+
+def test_reports_are_taken_now_and_then_and_show_late() -> None:
+    node = NodeModel(replace(WARM, report_s=0.2, report_late_s=0.1, miss_share=1.0), 0.0)
+    for i in range(7):
+        node.arrive(0.0, read(f"r{i}", work=1.0))
+    node.advance(0.2)
+    assert node.report(0.25).queue == 0, "taken at 0.2, shows from 0.3 on"
+    assert node.report(0.31).queue == 3
+    node.advance(9.0)
+    assert node.report(9.5).queue == 0
+    assert node.report(9.5).latency_ms > 1000
+
+
+def test_a_table_that_is_full_of_connections_takes_capacity_and_no_more() -> None:
+    node = NodeModel(replace(WARM, connections=2, full_tax=0.5, miss_share=1.0), 0.0)
+    assert node.connections_now(2)
+    assert not node.connections_now(3)
+    node.arrive(0.0, read("r1", work=0.1))
+    assert node.next_due() == pytest.approx(0.2)
+
+
+# The package store
+
+
+def order(name: str, write: bool = True, key: str = "idem", window: float = 2.5) -> Order:
+    return Order(name.encode(), b"k", write, key.encode() if write else b"", window if write else 0.0, 0.05)
+
+
+def answers(filled: list[Filled]) -> list[tuple[bytes, Answer, bool]]:
+    return [(end.order.id, end.answer, end.effect) for end in filled]
+
+
+def test_a_repeat_is_dropped_for_its_window_and_has_its_effect_again_after_it() -> None:
+    store = StoreModel(StoreSpec(slots=2, queue=2), 0.0)
+    assert store.arrive(0.0, order("w1")) == []
+    assert answers(store.arrive(0.01, order("w1"))) == [(b"w1", Answer.REPEAT, False)]  # also while it runs
+    assert answers(store.arrive(2.4, order("w2"))) == [
+        (b"w1", Answer.SERVED, True),
+        (b"w2", Answer.REPEAT, False),
+    ]
+    assert store.arrive(2.6, order("w3")) == []
+    assert answers(store.advance(9.0)) == [(b"w3", Answer.SERVED, True)]
+
+
+def test_a_write_that_was_turned_away_is_not_remembered() -> None:
+    store = StoreModel(StoreSpec(slots=1, queue=0), 0.0)
+    store.arrive(0.0, order("r", write=False))
+    assert answers(store.arrive(0.0, order("w"))) == [(b"w", Answer.BUSY, False)]
+    assert answers(store.arrive(1.0, order("w"))) == [(b"r", Answer.SERVED, False)]
+    assert answers(store.advance(2.0)) == [(b"w", Answer.SERVED, True)]
+
+
+def test_a_slow_store_takes_so_much_longer_and_one_that_dies_forgets_its_line_alone() -> None:
+    store = StoreModel(StoreSpec(slots=1, queue=5), 0.0)
+    store.slow(0.0, 4.0)
+    store.arrive(0.0, order("w"))
+    assert store.next_due() == pytest.approx(0.2)
+    assert [one.id for one in store.die()] == [b"w"]
+    assert store.held == 0
+    assert answers(store.arrive(0.5, order("w"))) == [(b"w", Answer.REPEAT, False)]
+
+
+# Discovery
+
+
+def listed(count: int, delay: float = 1.0, views: tuple[str, ...] = ("r1", "r2")) -> RegistryModel:
+    entries = [Entry(f"n{i}", State.UP) for i in range(count)]
+    return RegistryModel(entries, views, lambda view, _: delay if view == "r1" else 2 * delay, 0.0)
+
+
+def test_each_router_hears_of_a_change_in_its_own_time() -> None:
+    model = listed(2)
+    assert model.set_state(0.0, "n0", State.DRAINING)
+    assert not model.set_state(0.0, "unknown", State.UP)
+    assert model.next_due() == 1.0
+    assert list(model.advance(1.0)) == ["r1"]
+    assert model.views["r1"].newer_than(1) == (False, [Entry("n0", State.DRAINING)])
+    assert model.views["r2"].newer_than(1) == (False, [])
+    assert list(model.advance(5.0)) == ["r2"]
+    assert model.views["r2"].since["n0"] == 2.0
+    assert model.next_due() is None
+
+
+def test_late_stale_and_views_that_never_go_back() -> None:
+    model = listed(2)
+    model.late(0.0, extra=5.0, seconds=1.0)
+    model.set_state(0.5, "n0", State.REMOVED)  # comes at 6.5
+    model.change(1.5, Entry("n0", State.UP))
+    assert model.advance(6.0) == {}, "in order: the later change waits for the late one"
+    came = model.advance(6.5)["r1"]
+    assert [change.entry.state for change in came] == [State.REMOVED, State.UP]
+    model.stale(7.0, 10.0, ["r1"])
+    model.set_state(7.0, "n1", State.REMOVED)
+    assert "r1" not in model.advance(16.9)
+    assert model.advance(17.0)["r1"][0].at == 17.0
+
+
+def test_a_watch_from_an_unknown_version_gets_the_whole_list() -> None:
+    model = listed(3)
+    whole, entries = model.views["r1"].newer_than(99)
+    assert (whole, len(entries)) == (True, 3)
+    whole, _ = model.views["r1"].newer_than(0)
+    assert whole
+
+
+# Faults
+
+
+def test_faults_fall_on_the_same_answers_in_every_run_and_in_their_shares() -> None:
+    shares = Shares(reset=0.1, garble=0.2, silence=0.3)
+    drawn = [shares.of(5, "n1", b"r%d" % i, 1) for i in range(5000)]
+    assert drawn == [shares.of(5, "n1", b"r%d" % i, 1) for i in range(5000)]
+    for fault, share in ((Fault.RESET, 0.1), (Fault.GARBLE, 0.2), (Fault.SILENCE, 0.3), (Fault.NONE, 0.4)):
+        assert drawn.count(fault) / 5000 == pytest.approx(share, abs=0.03)
+    assert Shares().of(5, "n1", b"r", 1) is Fault.NONE
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [{"cores": 0}, {"slots": 0}, {"queue": -1}, {"speed": 0.0}, {"cold_share": 0.0}, {"thrash_at": 0.0}],
+)
+def test_sizes_that_make_no_sense_are_refused(wrong: dict[str, float]) -> None:
+    with pytest.raises(ValueError, match="must be"):
+        WorkSpec(**wrong)  # type: ignore[arg-type]
