Rehearsal: the last reading's mends; a drained node keeps its start time in the list

Need: reading the whole change once more. Change: judge() loses a bound nobody gave, the drain check holds (time, state, of) in place of a state packed into a string, Life and Attempt are copied by replace(), tries are counted once and not once per router, a node's kill and close share one loop, unused event and property are gone. One defect: draining or removing a node built its list entry anew, so a restarted node was listed as started long ago, and a node that had fallen was removed twice; the hub now calls the registry's set_state, which was there.

--- a/holdgw/rehearsal/checker.py
+++ b/holdgw/rehearsal/checker.py
@@ -35,7 +35,7 @@
 TOLD_AT_LATEST_S = 6.0  # after the view had it, whether or not it was written to the router
 RULES = ("lost", "twice", "late_drain", "felled")
 GOOD = ("hit", "served", "repeat")
-REPEAT_KNOWN = ("busy",)  # results that tell the router that the attempt never ran
+NO_EFFECT = ("busy", "miss", "pending")  # turned away and told so, or a look at a mirror node
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,9 +110,7 @@
     text: str
 
 
-def judge(
-    history: History, classes: Mapping[int, ClassRule], grace: float, last_try_is_over: float = float("inf")
-) -> list[Broken]:
+def judge(history: History, classes: Mapping[int, ClassRule], grace: float) -> list[Broken]:
     """All breaks, in order of time. `classes`: of each ask; `grace`: the drain rule's, seconds."""
     attempts = defaultdict[str, list[Attempt]](list)
     for attempt in history.attempts:
@@ -137,7 +135,7 @@
             for fall in history.fallen
         ),
     ]
-    return sorted((one for one in broken if one.at <= last_try_is_over), key=lambda one: one.at)
+    return sorted(broken, key=lambda one: one.at)
 
 
 def counts(broken: Iterable[Broken]) -> dict[str, int]:
@@ -227,12 +225,7 @@
         rule = classes.get(one.ask, ClassRule("safe"))
         if rule.effect == "safe":
             continue
-        # A miss at a mirror node has no effect; whatever else was not turned away may have run.
-        ran = [
-            attempt
-            for attempt in attempts.get(one.request, [])
-            if attempt.result not in (*REPEAT_KNOWN, "miss", "pending")
-        ]
+        ran = [attempt for attempt in attempts.get(one.request, []) if attempt.result not in NO_EFFECT]
         if not ran:
             continue
         first = ran[0]
@@ -264,13 +257,14 @@
     """Each router's knowledge of each server, as a line of (time, state); a process begins with
     nothing told.
     """
-    knowledge = defaultdict[tuple[str, str], list[tuple[float, str]]](list)
+    # (when it counts as told, state, the time that an earlier word must not be newer than)
+    knowledge = defaultdict[tuple[str, str], list[tuple[float, str, float]]](list)
     for told in history.told:
-        knowledge[told.router, told.server].append((told.at, told.state))
+        knowledge[told.router, told.server].append((told.at, told.state, told.at))
     for had in history.had:
-        at = had.at + TOLD_AT_LATEST_S
         # What a router was told by word of the wire goes before; this only counts where nothing newer came.
-        knowledge[had.router, had.server].append((at, f"late:{had.state}:{had.at}"))
+        at = had.at + TOLD_AT_LATEST_S
+        knowledge[had.router, had.server].append((at, had.state, had.at))
     for line in knowledge.values():
         line.sort()
     starts = {router: sorted(life.started for life in several) for router, several in lives.items()}
@@ -284,14 +278,10 @@
         place = bisect_right(begun, attempt.at) - 1
         since = begun[place] if place >= 0 else float("-inf")
         unwelcome: float | None = None  # since when it has been told that the server wants nothing new
-        newest = float("-inf")  # of the states told so far, when the view had them
-        for at, state in line:
-            if at > attempt.at or at < since:
+        newest = float("-inf")  # when the last of the states so far counted as told
+        for at, state, of in line:
+            if at > attempt.at or at < since or of < newest:
                 continue
-            if state.startswith("late:"):
-                _, state, text = state.split(":")
-                if float(text) < newest:
-                    continue
             newest = at
             if state == "up":
                 unwelcome = None
@@ -333,12 +323,9 @@
         if left <= 0:
             p99 = bound
             break
-    late = max(readings, key=lambda lag: lag.worst)
-    verdict = LagVerdict(p99, round(late.worst * 1000, 2), late.worker)
+    late, why = max(readings, key=lambda lag: lag.worst), ""
     if late.worst * 1000 > worst_ms:
         why = f"{late.worker} was {late.worst * 1000:.0f} ms late once, over {worst_ms:g}"
     elif p99 > p99_ms:
         why = f"the 99th percentile of its lag is {p99:g} ms, over {p99_ms:g}"
-    else:
-        return verdict
-    return LagVerdict(verdict.p99_ms, verdict.worst_ms, verdict.worker, why)
+    return LagVerdict(p99, round(late.worst * 1000, 2), late.worker, why)
--- a/holdgw/rehearsal/report.py
+++ b/holdgw/rehearsal/report.py
@@ -7,6 +7,8 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from msgspec.structs import replace
+
 from holdgw.rehearsal import counting
 from holdgw.rehearsal.checker import Broken, ClassRule, LagVerdict, counts, judge, judge_lag
 from holdgw.rehearsal.counting import Fate, Service, fates, quantile
@@ -163,10 +165,17 @@
     service = counting.count(found, history, scenario.classes, tenants, scenario.length_s, begun, zones)
     router_of = {one.request: one.router for one in history.tries}
     attempts = sorted(
-        (_in_day(one, begun) for one in history.attempts if one.at >= begun), key=lambda one: one.at
+        (
+            replace(one, at=one.at - begun, ended=one.ended - begun)
+            for one in history.attempts
+            if one.at >= begun
+        ),
+        key=lambda one: one.at,
     )
     total = _summary(found, day)
     flushed = sum(one.gone for one in history.flushed)
+    tries = [one for one in history.tries if one.sent >= begun]
+    asked = Counter(one.router for one in tries)
     starts = Counter(life.router for life in history.lives)
     body = {
         "asked": total["asked"],
@@ -184,7 +193,7 @@
             name: {
                 **_used(played.usage.get(name, ()), begun),
                 "starts": starts[name],
-                "asked": sum(one.router == name and one.sent >= begun for one in history.tries),
+                "asked": asked[name],
                 "memory_limit_mb": scenario.router.memory_mb,
             }
             for name in routers
@@ -196,7 +205,7 @@
         "emulator": {**asdict(lag), "cpu_s": {name: round(cpu, 2) for name, cpu in played.workers.items()}},
         "service_parts": asdict(service),
         "attempts": len(attempts),
-        "tries": sum(one.sent >= begun for one in history.tries),
+        "tries": len(tries),
         "classes": _grouped(found, day, lambda fate: scenario.classes[fate.ask.request_class].name),
         "tenants": _grouped(found, day, lambda fate: tenants[fate.ask.tenant]),
         "sources": _grouped(found, day, lambda fate: fate.ask.source),
@@ -212,16 +221,6 @@
             for one in history.odd[:MOST_BROKEN]
         ],
         "spoilt": dict(Counter(one.fault for one in attempts if one.fault)),
-        "answers": dict(Counter(one.answer for one in history.tries if one.sent >= begun)),
+        "answers": dict(Counter(one.answer for one in tries)),
     }
     return Report(body, day, broken, lag, found, service, attempts, router_of)
-
-
-def _in_day(attempt: Attempt, begun: float) -> Attempt:
-    return Attempt(
-        **{
-            **{name: getattr(attempt, name) for name in Attempt.__struct_fields__},
-            "at": attempt.at - begun,
-            "ended": attempt.ended - begun,
-        }
-    )
--- a/holdgw/rehearsal/routers.py
+++ b/holdgw/rehearsal/routers.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 from collections.abc import Collection
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -149,8 +150,7 @@
             self._cpu_before = self.usage[-1].cpu
 
     def _change(self, life: int, **changes: Any) -> None:
-        fields = {name: getattr(self.lives[life], name) for name in Life.__slots__}
-        self.lives[life] = Life(**{**fields, **changes})
+        self.lives[life] = replace(self.lives[life], **changes)
 
     async def ready(self) -> bool:
         """Wait until it answers PING with PONG; False: it ended, or did not in time."""
--- a/holdgw/rehearsal/stage.py
+++ b/holdgw/rehearsal/stage.py
@@ -92,7 +92,6 @@
         self.channel: Channel | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.finished = asyncio.Event()
-        self.gone = asyncio.Event()
         self.tally = Tally()
         self.cpu = 0.0
         self._answers: dict[int, asyncio.Future[Any]] = {}
@@ -153,7 +152,6 @@
             self.stage.fail(f"worker {self.name}: {message.text.strip().splitlines()[-1]}", message.text)
 
     def _lost(self) -> None:
-        self.gone.set()
         if not self.finished.is_set():
             self.stage.fail(f"worker {self.name} is gone")
 
--- a/holdgw/rehearsal/worker.py
+++ b/holdgw/rehearsal/worker.py
@@ -14,7 +14,6 @@
 import time
 import traceback
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import uvloop
@@ -258,8 +257,7 @@
         elif verb == "up":
             self.discovery.change(self._entry(target, int(time.time() * 1000)))
         elif verb in ("draining", "removed"):
-            entry = replace(self._entry(target), state=State(verb))
-            self.discovery.change(entry)
+            self.discovery.set_state(target, State(verb))
         elif verb == "known":
             view = self.discovery.model.views[target]
             return self.discovery.form(target, True, list(view.entries.values()))
--- a/holdgw/standins/discovery.py
+++ b/holdgw/standins/discovery.py
@@ -164,6 +164,11 @@
         self.model.change(self._clock(), entry)
         self._rings()
 
+    def set_state(self, server: str, state: State) -> None:
+        """A listed server changes its state; for one that is not listed nothing is left to tell."""
+        self.model.set_state(self._clock(), server, state)
+        self._rings()
+
     def late(self, extra: float, seconds: float) -> None:
         """Changes from now on come later than usual."""
         self.model.late(self._clock(), extra, seconds)
@@ -200,14 +205,14 @@
         else:
             connection.answer(True, list(self.model.views[connection.router].entries.values()))
 
-    def _take_in(self) -> dict[str, int]:
+    def _take_in(self) -> set[str]:
         came = self.model.advance(self._clock())
         for router, changes in came.items():
             for change in changes:
                 entry = change.entry
                 self._witness.saw(Had(router, entry.id, entry.state.value, change.at))
         self._alarm.set(self.model.next_due())
-        return dict.fromkeys(came, 1)
+        return set(came)
 
     def _rings(self) -> None:
         came = self._take_in()
--- a/holdgw/standins/node.py
+++ b/holdgw/standins/node.py
@@ -212,22 +212,21 @@
             self._idle_timer.cancel()
         self.model.work.drop_all()
         for connection in list(self._connections):
-            for slot in connection.slots:
-                if not slot.ready:
-                    self._record(slot, "gone", Fault.NONE)
-            connection.unbegun("gone")
-            connection.slots.clear()
+            self._leave_unanswered(connection, "gone")
             connection.abort()
         self._connections.clear()
 
+    def _leave_unanswered(self, connection: NodeConnection, result: str) -> None:
+        for slot in connection.slots:
+            if not slot.ready:
+                self._record(slot, result, Fault.NONE)
+        connection.unbegun(result)
+        connection.slots.clear()
+
     def close(self) -> None:
         """The day is over: what never ended is told."""
         for connection in self._connections:
-            for slot in connection.slots:
-                if not slot.ready:
-                    self._record(slot, "open", Fault.NONE)
-            connection.unbegun("open")
-            connection.slots.clear()
+            self._leave_unanswered(connection, "open")
         self.kill()
 
     # Troubles
--- a/holdgw/standins/work.py
+++ b/holdgw/standins/work.py
@@ -67,11 +67,6 @@
         self._waiting: deque[tuple[float, T]] = deque()
         self._order = 0
 
-    @property
-    def in_work(self) -> int:
-        """Items in work."""
-        return len(self._active)
-
     @property
     def waiting(self) -> int:
         """Items that wait."""
