--- a/holdgw/cli.py
+++ b/holdgw/cli.py
@@ -75,6 +75,8 @@
         if seconds <= 0:
             raise UsageError(f"--for: expected a number of seconds above 0, got {seconds:g}")
         scenario = scenario.cut(seconds)
+    if why := scenario.not_on_sockets():
+        raise UsageError(f"{file}: {why}")
     for path in (json, html):
         if path is not None and not path.absolute().parent.is_dir():
             raise UsageError(f"{path}: the folder is not there")
--- a/holdgw/policy/interface.py
+++ b/holdgw/policy/interface.py
@@ -234,11 +234,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt at a server; `timeout` 0: until the client gives up."""
+    """Start an attempt at a server; `timeout` 0: until the client gives up.
+
+    `within`: if its bytes can't be written in so long, they must not be written at all; 0: no bound.
+    """
 
     request: str
     server: str
     timeout: int = 0
+    within: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -50,6 +50,7 @@
 # answers is over the first, and that of the next-ranked server under the second; it comes back in time.
 BAD_ANSWERS, LEAN_BAD, LEAN_WELL = 32, 0.25, 0.1
 LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 16, 0.04, 20 * NS_PER_S
+ON_THE_WAY = NS_PER_S // 20  # from when a request is written until it is there, at most
 REGAIN = 60 * NS_PER_S  # time in which a chance comes back by itself, where answers are too few to bring it
 DEAD = -0.02  # the chance after a refused connection: none for that part of REGAIN, then trials
 
@@ -282,12 +283,21 @@
         if self.ran is None or self.cls.effect is Effect.SAFE:
             return True
         here, there = node.entry, self.ran[0].entry
-        if self.cls.effect is Effect.UNSAFE or now - self.ran[1] >= self.cls.dedup_window:
+        if self.cls.effect is Effect.UNSAFE or self.write_within(now) <= 0:
             return False
         if self.cls.group is Group.ALL:
             return True
         return here.zone == there.zone and (self.cls.group is Group.ZONE or here.cell == there.cell)
 
+    def write_within(self, now: int) -> int:
+        """How long a repeat may still be written for: it must be there while the first one is remembered.
+
+        Danger: a repeat that is decided on in time may wait for a connection, and comes when the first one is
+        forgotten. It happens twice then. It costs a class whose window is as short as a dial its repeats.
+        """
+        assert self.ran is not None
+        return self.ran[1] + self.cls.dedup_window - ON_THE_WAY - now
+
     def may_refuse(self) -> bool:
         """Rule 2: a refusal says that a further try is harmless."""
         keyed_anywhere = self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
@@ -389,7 +399,9 @@
         node.usual_load += (node.load - node.usual_load) / 32
         node.load += 1
         request.patience = self._patience(request, node)
-        self._actions.append(api.Send(request.id, node.entry.id, request.patience))
+        bounded = request.ran is not None and request.cls.effect is Effect.KEYED
+        within = request.write_within(self._now) if bounded else 0
+        self._actions.append(api.Send(request.id, node.entry.id, request.patience, within))
 
     def _patience(self, request: Request, node: Node) -> int:
         """Departure: how long an answer is waited for before it counts as lost on the way.
--- a/holdgw/rehearsal/checker.py
+++ b/holdgw/rehearsal/checker.py
@@ -67,6 +67,16 @@
     lags: list[Lag] = field(default_factory=list)
     flushed: list[Flushed] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
+    severed: set[str] = field(default_factory=set)
+    """Requests whose client's own connection the network broke: no router could have answered them."""
+    stops: list[tuple[str, float, float]] = field(default_factory=list)
+    """Routers whose processes were made to stand still, from when to when."""
+    held: dict[tuple[str, float], float] = field(default_factory=dict)
+    """When a router had written what the network held back: by server, and when it came there."""
+
+    def left_at(self, attempt: Attempt) -> float:
+        """When an attempt left its router, as far as that matters: when it came, unless it was held back."""
+        return self.held.get((attempt.server, attempt.at), attempt.at)
 
     def add(self, record: Record) -> None:
         """Sort a record in."""
@@ -123,7 +133,7 @@
     broken = [
         *_lost(history, attempts, lives),
         *_crashed(history.lives),
-        *_twice(history, attempts, classes),
+        *_twice(history, attempts, classes, lives),
         *_late_drains(history, lives, grace),
         *(
             Broken(
@@ -159,6 +169,14 @@
     )
 
 
+def _stood_still(stops: list[tuple[str, float, float]], one: Try) -> bool:
+    """Whether a try's router was made to stand still while it was open."""
+    return any(
+        router == one.router and begun <= one.ended + SLACK_S and one.sent - SLACK_S <= until
+        for router, begun, until in stops
+    )
+
+
 def _lost(
     history: History, attempts: Mapping[str, list[Attempt]], lives: Mapping[str, list[Life]]
 ) -> Iterable[Broken]:
@@ -174,7 +192,11 @@
         def lost(text: str, one: Try = one) -> Broken:
             return Broken("lost", one.ended, (one.request,), f"{text} ({one.router})")
 
-        excused = _excused(lives.get(one.router, []), one.sent, one.ended)
+        excused = (
+            one.request in history.severed
+            or _excused(lives.get(one.router, []), one.sent, one.ended)
+            or _stood_still(history.stops, one)
+        )
         if one.crossed and not excused and any(attempt.at < one.crossed for attempt in sent_on):
             yield lost("the connection was closed on a request that had been read")
         if one.answer == "none" and not excused:
@@ -192,7 +214,7 @@
                 yield lost(f"served with what {maker.server} did not answer ({maker.result} {maker.fault})")
         if one.answer in ("served", "refused", "failed") and not one.crossed:
             for attempt in sent_on:
-                if attempt.at > one.ended + SLACK_S:
+                if history.left_at(attempt) > one.ended + SLACK_S:
                     yield Broken(
                         "lost",
                         attempt.at,
@@ -219,18 +241,26 @@
 
 
 def _twice(
-    history: History, attempts: Mapping[str, list[Attempt]], classes: Mapping[int, ClassRule]
+    history: History,
+    attempts: Mapping[str, list[Attempt]],
+    classes: Mapping[int, ClassRule],
+    lives: Mapping[str, list[Life]],
 ) -> Iterable[Broken]:
     for one in history.tries:
         rule = classes.get(one.ask, ClassRule("safe"))
         if rule.effect == "safe":
             continue
+        if one.crossed and (
+            one.request in history.severed or _excused(lives.get(one.router, []), one.sent, one.ended)
+        ):
+            # The client itself sent it twice, on a connection that no router could have kept.
+            continue
         ran = [attempt for attempt in attempts.get(one.request, []) if attempt.result not in NO_EFFECT]
         if not ran:
             continue
         first = ran[0]
         for attempt in attempts[one.request]:
-            late = attempt.at - first.at
+            late = history.left_at(attempt) - first.at
             if attempt is first or late < 0:
                 continue
             if rule.effect == "unsafe":
@@ -287,10 +317,9 @@
                 unwelcome = None
             elif unwelcome is None:
                 unwelcome = at
-        if unwelcome is not None and attempt.at > unwelcome + grace + SLACK_S:
-            text = (
-                f"sent to {attempt.server} {attempt.at - unwelcome:.3f} s after {one.router} was told it goes"
-            )
+        if unwelcome is not None and history.left_at(attempt) > unwelcome + grace + SLACK_S:
+            since_told = history.left_at(attempt) - unwelcome
+            text = f"sent to {attempt.server} {since_told:.3f} s after {one.router} was told it goes"
             yield Broken("late_drain", attempt.at, (attempt.request,), text)
 
 
--- a/holdgw/rehearsal/clients.py
+++ b/holdgw/rehearsal/clients.py
@@ -235,7 +235,7 @@
         self._routers: dict[str, Address] = {}
         self._up: set[str] = set()
         self._idle: dict[str, list[ClientConnection]] = {}
-        self._dials: set[asyncio.Task[None]] = set()
+        self._dials: dict[asyncio.Task[None], None] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._zone = {
             name: drawn.zone_of_router(day.scenario, name) for name in router_names(day.scenario.fleet)
@@ -303,8 +303,8 @@
     def dial(self, router: str, attempt: TryOut) -> None:
         """Open a connection for a try."""
         task = self.loop.create_task(self._dial(router, attempt))
-        self._dials.add(task)
-        task.add_done_callback(self._dials.discard)
+        self._dials[task] = None
+        task.add_done_callback(lambda over: self._dials.pop(over, None))
 
     async def _dial(self, router: str, attempt: TryOut) -> None:
         connection: ClientConnection | None = None
@@ -315,6 +315,8 @@
                 )
         except (OSError, TimeoutError):
             pass
+        if connection is not None and connection.lost:
+            connection = None  # it broke between its coming up and this
         if attempt.record is None:
             attempt.dialled(connection)
         elif connection is not None:
@@ -361,7 +363,7 @@
         """The day is over."""
         if self._timer is not None:
             self._timer.cancel()
-        for dial in self._dials:
+        for dial in list(self._dials):
             dial.cancel()
         for resting in self._idle.values():
             for connection in resting:
--- a/holdgw/rehearsal/day.py
+++ b/holdgw/rehearsal/day.py
@@ -16,7 +16,9 @@
 from typing import Any
 
 from holdgw.rehearsal import scenario as s
-from holdgw.rehearsal.scenario import Scenario, kind_of, node_names, router_names, zone_of
+from holdgw.rehearsal import troubles as t
+from holdgw.rehearsal.scenario import Scenario, node_names, router_names, zone_of
+from holdgw.rehearsal.troubles import kind_of
 from holdgw.standins.chance import between, unit
 from holdgw.standins.node import Workload
 from holdgw.standins.node_model import NodeSpec
@@ -24,6 +26,7 @@
 from holdgw.standins.work import WorkSpec
 
 STORE = "store"
+NETWORK = "network"
 USUAL, SCAN, HOT, BURST, PRELUDE = "usual", "scan", "hot_caller", "burst", "prelude"
 QUOTA_WINDOW_S = 1.0
 
@@ -99,6 +102,11 @@
     return Day(scenario, seed, asks, tuple(steps), tuple(marks))
 
 
+def drawing(place: int, trouble: t.Trouble) -> int:
+    """The number of the draw that a trouble takes its targets from."""
+    return place if trouble.draw < 0 else trouble.draw
+
+
 def _generator(seed: int, purpose: str) -> random.Random:
     return random.Random(f"{seed}/{purpose}")
 
@@ -156,17 +164,15 @@
     tenants = list(itertools.accumulate(one.share for one in scenario.tenants))
     names = [one.name for one in scenario.tenants]
     routers = router_names(scenario.fleet)
-    bursts = [trouble for trouble in scenario.trouble if isinstance(trouble, s.Burst)]
-    scans = [trouble for trouble in scenario.trouble if isinstance(trouble, s.Scan)]
+    bursts = [trouble for trouble in scenario.trouble if isinstance(trouble, t.Burst)]
+    scans = [trouble for trouble in scenario.trouble if isinstance(trouble, t.Scan)]
     hot = [
-        (trouble, _generator(seed, f"hot{i}").sample(routers, trouble.routers))
+        (trouble, _generator(seed, f"hot{drawing(i, trouble)}").sample(routers, trouble.routers))
         for i, trouble in enumerate(scenario.trouble)
-        if isinstance(trouble, s.HotCaller)
+        if isinstance(trouble, t.HotCaller)
     ]
     portions = [tenants[0], *(b - a for a, b in itertools.pairwise(tenants))]
-    most = scenario.load.rate * max(factor for _, factor in scenario.load.shape)
-    for burst in bursts:
-        most *= max(burst.factor, 1.0)
+    most = scenario.peak
     used: list[list[float]] = [
         [] for _ in names
     ]  # arrivals of each tenant in the last second, within its quota
@@ -176,7 +182,7 @@
         if at >= scenario.length_s:
             return
         base = load_at(scenario, at)
-        rate, extra = base, list[tuple[float, s.Burst]]()
+        rate, extra = base, list[tuple[float, t.Burst]]()
         for burst in bursts:
             if burst.at <= at < burst.at + burst.seconds:
                 part = portions[names.index(burst.tenant)] / tenants[-1] if burst.tenant else 1.0
@@ -246,7 +252,8 @@
     fresh = itertools.count(scenario.fleet.nodes)
     routers = router_names(scenario.fleet)
     order = sorted(enumerate(scenario.trouble), key=lambda pair: pair[1].at)
-    for place, trouble in order:
+    for number, trouble in order:
+        place = drawing(number, trouble)
         rng = _generator(seed, f"trouble{place}")
         until = trouble.at + getattr(trouble, "seconds", 0.0)
         text = kind_of(trouble)
@@ -257,22 +264,22 @@
             return [name for name in wanted if name in alive]
 
         match trouble:
-            case s.Pause():
+            case t.Pause():
                 nodes = chosen(trouble.nodes)
                 steps += [Step(trouble.at, "pause", name, {"seconds": trouble.seconds}) for name in nodes]
                 text = f"{', '.join(nodes)} paused {trouble.seconds:g} s"
-            case s.Kill():
+            case t.Kill():
                 nodes = chosen(trouble.nodes)
                 steps += [Step(trouble.at, "kill", name) for name in nodes]
                 alive = [name for name in alive if name not in nodes]
                 text = f"{', '.join(nodes)} killed"
-            case s.Restart():
+            case t.Restart():
                 nodes = chosen(trouble.nodes)
                 until = trouble.at + trouble.down_s
                 for name in nodes:
                     steps += [Step(trouble.at, "kill", name), Step(until, "start", name)]
                 text = f"{', '.join(nodes)} restarted, cold"
-            case s.Replace():
+            case t.Replace():
                 nodes = chosen(trouble.nodes)
                 until = trouble.at + trouble.down_s
                 alive = [name for name in alive if name not in nodes]
@@ -282,39 +289,39 @@
                     steps += [Step(trouble.at, "kill", name), Step(until, "create", new, place_of)]
                     alive.append(new)
                 text = f"{', '.join(nodes)} replaced"
-            case s.Drain():
+            case t.Drain():
                 nodes = chosen(trouble.nodes)
                 for name in nodes:
                     steps += [Step(trouble.at, "drain", name), Step(until, "kill", name)]
                 alive = [name for name in alive if name not in nodes]
                 text = f"{', '.join(nodes)} drain, gone after {trouble.seconds:g} s"
-            case s.ColdStart():
+            case t.ColdStart():
                 new_nodes = [f"node{next(fresh):03d}" for _ in range(trouble.nodes)]
                 steps += [Step(trouble.at, "create", name, {"instead": ""}) for name in new_nodes]
                 alive += new_nodes
                 text = f"{', '.join(new_nodes)} join, cold"
-            case s.Flush():
+            case t.Flush():
                 steps.append(Step(trouble.at, "flush", "", {"share": trouble.share, "serial": place}))
                 text = f"{trouble.share:.0%} of the keys flushed"
-            case s.Scan():
+            case t.Scan():
                 text = f"scan: {trouble.share:.0%} of the reads"
-            case s.HotCaller():
+            case t.HotCaller():
                 through = _generator(seed, f"hot{place}").sample(routers, trouble.routers)
                 text = f"hot caller: {trouble.share:.0%} through {', '.join(through)}"
-            case s.Burst():
+            case t.Burst():
                 text = (
                     f"burst: {trouble.factor:g} times the load{' of ' * bool(trouble.tenant)}{trouble.tenant}"
                 )
-            case s.OriginSlow():
+            case t.OriginSlow():
                 steps += [
                     Step(trouble.at, "slow", STORE, {"factor": trouble.factor}),
                     Step(until, "slow", STORE, {"factor": 1.0}),
                 ]
                 text = f"package store {trouble.factor:g} times as slow"
-            case s.OriginDown():
+            case t.OriginDown():
                 steps += [Step(trouble.at, "down", STORE), Step(until, "up", STORE)]
                 text = "package store down"
-            case s.Reset() | s.Garble() | s.Silence():
+            case t.Reset() | t.Garble() | t.Silence():
                 nodes = [""] if trouble.nodes == "all" else chosen(trouble.nodes)
                 if trouble.store:
                     nodes.append(STORE)
@@ -323,31 +330,80 @@
                         spoil = {"fault": kind_of(trouble), "share": share}
                         steps.append(Step(at, "spoil", name, spoil))
                 text = f"{kind_of(trouble)}: {trouble.share:.1%} of the answers"
-            case s.DiscoveryLate():
+            case t.DiscoveryLate():
                 lateness = {"extra": trouble.extra_s, "seconds": trouble.seconds}
                 steps.append(Step(trouble.at, "late", "discovery", lateness))
                 text = f"discovery {trouble.extra_s:g} s late"
-            case s.DiscoveryStale():
+            case t.DiscoveryStale():
                 views = rng.sample(routers, trouble.routers) if trouble.routers else routers
                 steps.append(
                     Step(trouble.at, "stale", "discovery", {"seconds": trouble.seconds, "routers": views})
                 )
                 text = f"discovery stale at {len(views)} routers"
-            case s.DiscoveryDown():
+            case t.DiscoveryDown():
                 steps.append(Step(trouble.at, "down", "discovery", {"seconds": trouble.seconds}))
                 text = "discovery down"
-            case s.RouterRestart():
+            case t.RouterRestart():
                 picked = rng.sample(routers, trouble.routers)
                 for i, name in enumerate(picked):
                     step = Step(trouble.at + i * trouble.gap_s, "restart", name, {"signal": trouble.signal})
                     steps.append(step)
                     until = step.at
                 text = f"{', '.join(picked)}: SIG{trouble.signal} and a new start"
-            case s.RouterReload():
+            case t.RouterReload():
                 picked = rng.sample(routers, trouble.routers)
                 steps += [Step(trouble.at, "reload", name) for name in picked]
                 text = f"{', '.join(picked)}: new configuration, SIGHUP"
-            case s.Stall():
+            case t.Partition():
+                nodes = alive if trouble.nodes == "all" else chosen(trouble.nodes)
+                servers = [*nodes, *([STORE] if trouble.store else [])]
+                picked = rng.sample(routers, trouble.routers) if trouble.routers else routers
+                between_them = {"routers": picked, "servers": servers, "way": trouble.way}
+                steps.append(
+                    Step(trouble.at, "partition", NETWORK, {**between_them, "seconds": trouble.seconds})
+                )
+                text = f"{len(picked)} routers and {', '.join(servers)} parted ({trouble.way})"
+            case t.Vanish():
+                nodes = chosen(trouble.nodes)
+                for name in nodes:
+                    steps += [
+                        Step(trouble.at, "vanish", NETWORK, {"node": name}),
+                        Step(trouble.at + trouble.notice_s, "noticed", NETWORK, {"node": name}),
+                        Step(until, "return", NETWORK, {"node": name}),
+                    ]
+                text = f"{', '.join(nodes)} vanish for {trouble.seconds:g} s"
+            case t.Cut():
+                cut = {"share": trouble.share, "phases": list(trouble.phases), "lines": trouble.lines}
+                steps += [
+                    Step(trouble.at, "cut", NETWORK, {**cut, "name": place}),
+                    Step(until, "uncut", NETWORK, {"name": place}),
+                ]
+                text = f"{trouble.share:.1%} of what is sent breaks off ({trouble.lines})"
+            case t.Weather():
+                weather = {
+                    "loss": trouble.loss,
+                    "chop": trouble.chop,
+                    "slow_ms": trouble.slow_ms,
+                    "window_kb": trouble.window_kb,
+                }
+                steps += [
+                    Step(trouble.at, "weather", NETWORK, {**weather, "name": place}),
+                    Step(until, "weather", NETWORK, {"name": place}),
+                ]
+                text = f"bad lines: {trouble.loss:.1%} lost, {trouble.chop:.0%} in pieces"
+            case t.RouterStop():
+                picked = rng.sample(routers, trouble.routers)
+                steps += [Step(trouble.at, "stop", NETWORK, {"router": name}) for name in picked]
+                steps += [Step(until, "continue", NETWORK, {"router": name}) for name in picked]
+                text = f"{', '.join(picked)} stand still for {trouble.seconds:g} s"
+            case t.ClockJump():
+                picked = rng.sample(routers, trouble.routers)
+                steps += [
+                    Step(trouble.at, "clock", NETWORK, {"router": name, "by_s": trouble.by_s})
+                    for name in picked
+                ]
+                text = f"{', '.join(picked)}: clock set by {trouble.by_s:+g} s"
+            case t.Stall():
                 steps.append(Step(trouble.at, "stall", trouble.where, {"seconds": trouble.seconds}))
                 text = f"the emulator's {trouble.where} stand still"
         marks.append(Mark(kind_of(trouble), trouble.at, until, text))
--- /dev/null
+++ b/holdgw/rehearsal/fields.py
@@ -0,0 +1,33 @@
+"""The kinds of fields that a scenario's tables have, and the table they stand in."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+Share = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(gt=0)]
+AtLeast0 = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+Span = tuple[AtLeast0, AtLeast0]
+
+
+class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A table of the file."""
+
+
+def not_finite(value: Any, where: str = "") -> Iterator[str]:
+    """The fields, as dotted names, that hold an infinity or no number: TOML has both."""
+    if isinstance(value, float):
+        if not math.isfinite(value):
+            yield where
+    elif isinstance(value, msgspec.Struct):
+        for name in value.__struct_fields__:
+            yield from not_finite(getattr(value, name), f"{where}.{name}" if where else name)
+    elif isinstance(value, (tuple, list)):
+        for i, one in enumerate(value):
+            yield from not_finite(one, f"{where}[{i}]")
--- a/holdgw/rehearsal/routers.py
+++ b/holdgw/rehearsal/routers.py
@@ -71,6 +71,21 @@
         return ip, probe.getsockname()[1]
 
 
+async def pings(address: Address) -> bool:
+    """Whether a router answers PING with PONG there: it has a list, and takes requests."""
+    writer = None
+    try:
+        async with asyncio.timeout(PING_S):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"*1\r\n$4\r\nPING\r\n")
+            return (await reader.readline()).startswith(b"+PONG")
+    except (OSError, TimeoutError):
+        return False
+    finally:
+        if writer is not None:
+            writer.close()
+
+
 class Usage(msgspec.Struct, array_like=True):
     """What a router's processes take: bytes, descriptors, and CPU seconds since its start."""
 
@@ -143,6 +158,11 @@
         """What it has written to its standard output and error."""
         return self._folder / f"{self.name}.log"
 
+    def last_words(self) -> str:
+        """The last line of its log; empty where there is none."""
+        lines = self.log.read_text(errors="replace").strip().splitlines()
+        return lines[-1] if lines else ""
+
     async def _wait(self, process: asyncio.subprocess.Process, life: int) -> None:
         code = await process.wait()
         self._change(life, exited=self._clock(), code=code)
@@ -157,25 +177,12 @@
         assert self._process is not None
         due = self._clock() + READY_S
         while self._process.returncode is None and self._clock() < due:
-            if await self._pings():
+            if await pings(self.address):
                 self._change(-1, ready=self._clock())
                 return True
             await asyncio.sleep(PING_EVERY_S)
         return False
 
-    async def _pings(self) -> bool:
-        writer = None
-        try:
-            async with asyncio.timeout(PING_S):
-                reader, writer = await asyncio.open_connection(*self.address)
-                writer.write(b"*1\r\n$4\r\nPING\r\n")
-                return (await reader.readline()).startswith(b"+PONG")
-        except (OSError, TimeoutError):
-            return False
-        finally:
-            if writer is not None:
-                writer.close()
-
     @property
     def running(self) -> bool:
         """Whether its process runs."""
--- a/holdgw/rehearsal/scenario.py
+++ b/holdgw/rehearsal/scenario.py
@@ -14,24 +14,36 @@
 import msgspec
 from msgspec import Meta
 
-Share = Annotated[float, Meta(ge=0, le=1)]
-Positive = Annotated[float, Meta(gt=0)]
-AtLeast0 = Annotated[float, Meta(ge=0)]
-Count = Annotated[int, Meta(ge=1)]
-Span = tuple[AtLeast0, AtLeast0]
+from holdgw.rehearsal.fields import (
+    AtLeast0,
+    Count,
+    Positive,
+    Share,
+    Span,
+    Table,
+    not_finite,
+)
+from holdgw.rehearsal.troubles import (
+    KINDS,
+    Burst,
+    ColdStart,
+    Stall,
+    Trouble,
+    kind_of,
+    only_simulated,
+)
+
 MOST_NODES = 2000
 MOST_ROUTERS = 400
 MOST_SECONDS = 3600.0
+MOST_PEAK = 50_000.0  # first tries a second: ten times what the emulator plays on 8 cores
+MOST_DRAWS = 5_000_000  # of a whole day: asks are drawn ahead and held, some 500 bytes each
 
 
 class ScenarioError(Exception):
     """The file can't be used; the text is one plain line that names file and field."""
 
 
-class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """A table of the file."""
-
-
 class Fleet(Table, frozen=True, kw_only=True):
     """Mirror nodes and routers, and the lines between their zones."""
 
@@ -177,183 +189,6 @@
     prelude_keys: int = 2500
 
 
-class _Trouble(Table, frozen=True, kw_only=True, tag_field="kind"):
-    """Something that goes wrong at a second of the day."""
-
-    at: AtLeast0
-
-
-Nodes = Count | tuple[str, ...]
-"""So many nodes, drawn by the seed, or these by name."""
-
-
-class Pause(_Trouble, frozen=True, kw_only=True, tag="pause"):
-    """Nodes stand still with their processes running."""
-
-    seconds: Positive
-    nodes: Nodes = 1
-
-
-class Kill(_Trouble, frozen=True, kw_only=True, tag="kill"):
-    """Nodes' processes die and stay away."""
-
-    nodes: Nodes = 1
-
-
-class Restart(_Trouble, frozen=True, kw_only=True, tag="restart"):
-    """Nodes' processes die and start again, cold and empty, under the same ids."""
-
-    nodes: Nodes = 1
-    down_s: AtLeast0 = 0.5
-
-
-class Replace(_Trouble, frozen=True, kw_only=True, tag="replace"):
-    """Nodes die, and others take their place under new ids, cold and empty."""
-
-    nodes: Nodes = 1
-    down_s: AtLeast0 = 1.0
-    same_address: bool = False
-
-
-class Drain(_Trouble, frozen=True, kw_only=True, tag="drain"):
-    """Nodes drain for so long and leave."""
-
-    nodes: Nodes = 1
-    seconds: Positive = 5.0
-
-
-class ColdStart(_Trouble, frozen=True, kw_only=True, tag="cold_start"):
-    """New nodes join, cold and empty."""
-
-    nodes: Count = 1
-
-
-class Flush(_Trouble, frozen=True, kw_only=True, tag="flush"):
-    """The copies of a share of the keys go void at once."""
-
-    share: Share
-
-
-class Scan(_Trouble, frozen=True, kw_only=True, tag="scan"):
-    """A share of the reads asks for keys that are wanted once only."""
-
-    seconds: Positive
-    share: Share
-
-
-class HotCaller(_Trouble, frozen=True, kw_only=True, tag="hot_caller"):
-    """One caller sends a share of all traffic through few routers."""
-
-    seconds: Positive
-    share: Share
-    routers: Count = 1
-
-
-class Burst(_Trouble, frozen=True, kw_only=True, tag="burst"):
-    """The load is so many times as high; of one tenant only, if it is named."""
-
-    seconds: Positive
-    factor: Positive
-    tenant: str = ""
-
-
-class OriginSlow(_Trouble, frozen=True, kw_only=True, tag="origin_slow"):
-    """The package store takes so many times as long."""
-
-    seconds: Positive
-    factor: Positive
-
-
-class OriginDown(_Trouble, frozen=True, kw_only=True, tag="origin_down"):
-    """The package store can't be reached."""
-
-    seconds: Positive
-
-
-class _Spoil(_Trouble, frozen=True, kw_only=True):
-    seconds: Positive
-    share: Share
-    nodes: Nodes | Literal["all"] = "all"
-    store: bool = False
-
-
-class Reset(_Spoil, frozen=True, kw_only=True, tag="reset"):
-    """A share of the answers is a reset; `store`: the package store's too."""
-
-
-class Garble(_Spoil, frozen=True, kw_only=True, tag="garble"):
-    """A share of the answers is noise."""
-
-
-class Silence(_Spoil, frozen=True, kw_only=True, tag="silence"):
-    """A share of the answers never comes."""
-
-
-class DiscoveryLate(_Trouble, frozen=True, kw_only=True, tag="discovery_late"):
-    """Changes of the list come so much later."""
-
-    seconds: Positive
-    extra_s: Positive
-
-
-class DiscoveryStale(_Trouble, frozen=True, kw_only=True, tag="discovery_stale"):
-    """Routers' views of the list stand still; 0 routers: all of them."""
-
-    seconds: Positive
-    routers: Annotated[int, Meta(ge=0)] = 0
-
-
-class DiscoveryDown(_Trouble, frozen=True, kw_only=True, tag="discovery_down"):
-    """Discovery is out."""
-
-    seconds: Positive
-
-
-class RouterRestart(_Trouble, frozen=True, kw_only=True, tag="router_restart"):
-    """Routers are restarted; TERM: as planned, KILL: they die. `gap_s` lies between one and the next."""
-
-    routers: Count = 1
-    signal: Literal["TERM", "KILL"] = "TERM"
-    gap_s: AtLeast0 = 0.0
-
-
-class RouterReload(_Trouble, frozen=True, kw_only=True, tag="router_reload"):
-    """Routers get a new configuration that names another address of discovery, and SIGHUP."""
-
-    routers: Count = 1
-
-
-class Stall(_Trouble, frozen=True, kw_only=True, tag="emulator_stall"):
-    """The emulator itself stands still: to see that such a run is marked void."""
-
-    seconds: Positive
-    where: Literal["nodes", "clients"] = "nodes"
-
-
-Trouble = (
-    Pause
-    | Kill
-    | Restart
-    | Replace
-    | Drain
-    | ColdStart
-    | Flush
-    | Scan
-    | HotCaller
-    | Burst
-    | OriginSlow
-    | OriginDown
-    | Reset
-    | Garble
-    | Silence
-    | DiscoveryLate
-    | DiscoveryStale
-    | DiscoveryDown
-    | RouterRestart
-    | RouterReload
-    | Stall
-)
-
 FETCH = RequestClass(name="fetch", share=0.97, work_ms=45.0, aim_ms=300.0, give_up_ms=1200.0, worth=3.0)
 YANK = RequestClass(
     name="yank", share=0.022, work_ms=58.0, aim_ms=500.0, give_up_ms=1000.0, worth=2.0, late_worth=0.3,
@@ -365,6 +200,25 @@
 )  # fmt: skip
 
 
+class Simulation(Table, frozen=True, kw_only=True):
+    """What only `holdgw simulate` plays by."""
+
+    jitter: Annotated[float, Meta(ge=0, le=10)] = 0.2
+    """Of a line's delay, drawn for every segment."""
+    drift_ppm: Annotated[int, Meta(ge=0, le=1000)] = 100
+    """Routers' clocks are too fast or too slow by up to this."""
+    quiet_s: Annotated[float, Meta(ge=1, le=600)] = 34.0
+    """After the day, until routers are looked at for what is left over: beyond their longest idle time."""
+
+
+class Storm(Table, frozen=True, kw_only=True):
+    """Troubles that are drawn by the seed, beside those of the file; for `holdgw simulate`."""
+
+    count: tuple[Annotated[int, Meta(ge=0, le=40)], Annotated[int, Meta(ge=0, le=40)]] = (0, 0)
+    kinds: tuple[str, ...] = ()
+    """Empty: all kinds."""
+
+
 class Scenario(Table, frozen=True, kw_only=True):
     """A whole day."""
 
@@ -386,10 +240,14 @@
     clients: Clients = Clients()
     router: Router = Router()
     emulator: Emulator = Emulator()
+    simulation: Simulation = Simulation()
+    storm: Storm = Storm()
     trouble: tuple[Trouble, ...] = ()
 
     def __post_init__(self) -> None:
         """Hold what no single field can: raises ValueError naming the field."""
+        for name in not_finite(self):
+            raise ValueError(f"{name}: expected a finite number")
         _no_twins("classes", [one.name for one in self.classes])
         _no_twins("tenants", [one.name for one in self.tenants])
         _no_twins("fleet.zones", self.fleet.zones)
@@ -411,6 +269,45 @@
             raise ValueError("load.shape: some factor must be above 0")
         for i, trouble in enumerate(self.trouble):
             self._check_trouble(f"trouble[{i}] ({kind_of(trouble)})", trouble)
+        _span("storm.count", self.storm.count)
+        for kind in self.storm.kinds:
+            if kind not in KINDS or kind == kind_of(Stall(at=0, seconds=1)):
+                raise ValueError(f"storm.kinds: no trouble {kind!r} that a storm may have")
+        self._check_load()
+
+    def _check_load(self) -> None:
+        """Refuse what can't be played: to draw it would take for ever, and hold all there is of memory."""
+        usual = self.load.rate * max(factor for _, factor in self.load.shape)
+        for what, peak in (("load.rate times load.shape", usual), ("load with its bursts", self.peak)):
+            if peak > MOST_PEAK:
+                raise ValueError(f"{what}: a peak of {peak:.6g} a second; {MOST_PEAK:g} can be played")
+        if self.peak * self.length_s > MOST_DRAWS:
+            raise ValueError(
+                f"load.rate: up to {self.peak * self.length_s:.6g} first tries in {self.length_s:g} s; "
+                f"{MOST_DRAWS} can be played"
+            )
+
+    @property
+    def peak(self) -> float:
+        """The most first tries a second that the day may have, bursts that overlap added up."""
+        most = self.load.rate * max(factor for _, factor in self.load.shape)
+        bursts = [one for one in self.trouble if isinstance(one, Burst)]
+        if len(bursts) == 1:
+            return most * max(bursts[0].factor, 1.0)
+        more = [
+            sum(max(two.factor - 1.0, 0.0) for two in bursts if two.at <= one.at < two.at + two.seconds)
+            for one in bursts
+        ]
+        return most * (1.0 + max(more, default=0.0))
+
+    def not_on_sockets(self) -> str:
+        """Why only the simulation can play it, naming the field; empty: real sockets can, too."""
+        if self.storm.count[1]:
+            return "storm: drawn troubles are for `holdgw simulate`"
+        for i, one in enumerate(self.trouble):
+            if only_simulated(one):
+                return f"trouble[{i}] ({kind_of(one)}): only `holdgw simulate` can play it"
+        return ""
 
     def _check_trouble(self, where: str, trouble: Trouble) -> None:
         if trouble.at >= self.length_s:
@@ -445,11 +342,6 @@
         raise ValueError(f"{where}: {span[0]:g} is over {span[1]:g}")
 
 
-def kind_of(trouble: Trouble) -> str:
-    """The kind as the file words it."""
-    return str(type(trouble).__struct_config__.tag)
-
-
 def node_names(fleet: Fleet) -> list[str]:
     """The nodes' ids at the start of the day."""
     return [f"node{i:03d}" for i in range(fleet.nodes)]
--- a/holdgw/rehearsal/stage.py
+++ b/holdgw/rehearsal/stage.py
@@ -15,7 +15,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
 from math import ceil
@@ -39,8 +39,7 @@
     Voided,
 )
 from holdgw.rehearsal.checker import History
-from holdgw.rehearsal.day import STORE, Day, Step
-from holdgw.rehearsal.deployment import configuration
+from holdgw.rehearsal.day import Day
 from holdgw.rehearsal.routers import (
     RouterProcess,
     Usage,
@@ -50,25 +49,15 @@
     share_cores,
 )
 from holdgw.rehearsal.scenario import Scenario, router_names
-from holdgw.standins.chance import between, unit
+from holdgw.rehearsal.timeline import ANSWER_S, LOOK_S, StageError, TimeLine
 from holdgw.standins.records import Fallen
-from holdgw.wire.address import Address
 
 CLOCK = time.monotonic
 NODES_RATE, CLIENTS_RATE = 500.0, 700.0  # requests a second that one worker is given
 MOST_NODE_WORKERS, MOST_CLIENT_WORKERS = 4, 4
 START_S = 0.7  # from when all is ready to the prelude
 SETTLE_S = 0.6  # after the last answer that may still come
-ANSWER_S = 30.0  # for a worker to do what it is told
 SAMPLE_S = 1.0
-LOOK_S = 0.2
-ACCEPTS_S = 0.3  # new connections still go to a router that was told to end
-KILL_AFTER_S = 0.75  # beyond the longest deadline
-END_S = 5.0
-
-
-class StageError(Exception):
-    """The day could not be played to its end; one plain line."""
 
 
 @dataclass(slots=True)
@@ -84,7 +73,7 @@
     """CPU seconds of each worker and of the stage."""
 
 
-class Worker:
+class WorkerProcess:
     """A worker process as the stage sees it."""
 
     def __init__(self, stage: Stage, name: str) -> None:
@@ -172,22 +161,19 @@
             await self.process.wait()
 
 
-class Stage:
+class Stage(TimeLine):
     """One day's play."""
 
     def __init__(self, day: Day, command: str, root: Path, keep_logs: Path | None = None) -> None:
-        self.day, self.history = day, History()
+        super().__init__(day, CLOCK)
+        self.history = History()
         self.felled = 0
-        self.begun = 0.0
         self.cores, self._router_cores = share_cores(os.sched_getaffinity(0))
         self._command, self._root, self._keep_logs = command, root, keep_logs
-        self._node_workers: list[Worker] = []
-        self._client_workers: list[Worker] = []
-        self._hub: Worker | None = None
-        self._home: dict[str, Worker] = {}  # of each node
-        self._routers: dict[str, RouterProcess] = {}
-        self._places: dict[str, dict[str, Address]] = {}
-        self._discovery: dict[str, Address] = {}
+        self.node_workers: list[WorkerProcess] = []
+        self.client_workers: list[WorkerProcess] = []
+        self.routers: dict[str, RouterProcess] = {}
+        self._workers: list[WorkerProcess] = []
         self._failure: asyncio.Future[None] | None = None
         self._fault_text = ""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -200,11 +186,11 @@
             self.history.add(record)
             if isinstance(record, Fallen):
                 self.felled += 1
-                self._spawn(self._list("removed", record.server))
+                self.spawn(self.list_state("removed", record.server))
 
     def tell_nodes(self, message: Stored | Voided) -> None:
         """The package store's news goes to all nodes."""
-        for worker in self._node_workers:
+        for worker in self.node_workers:
             worker.send(message)
 
     def fail(self, text: str, details: str = "") -> None:
@@ -216,12 +202,13 @@
     def tally(self) -> Tally:
         """What all clients have counted so far."""
         total = Tally()
-        for worker in self._client_workers:
+        for worker in self.client_workers:
             for name in Tally.__struct_fields__:
                 setattr(total, name, getattr(total, name) + getattr(worker.tally, name))
         return total
 
-    def _spawn(self, work: Any) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Do something beside all else; a fault in it ends the day."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._task_over)
@@ -264,14 +251,14 @@
         await self._start_workers(scenario)
         await self._start_routers(scenario, folder)
         self.begun = CLOCK() + START_S + scenario.emulator.prelude_s
-        for worker in self._client_workers:
+        for worker in self.client_workers:
             worker.send(Begin(self.begun))
-        self._spawn(self._sample())
-        self._spawn(self._watch_routers())
-        for worker in self._node_workers:
-            self._spawn(self._later(0.0, worker.ask, "learn"))
+        self.spawn(self._sample())
+        self.spawn(self.watch_routers())
+        for worker in self.node_workers:
+            self.spawn(self.later(0.0, worker.ask, "learn"))
         for step in self.day.steps:
-            self._spawn(self._later(step.at, self._carry_out, step))
+            self.spawn(self.later(step.at, self.carry_out, step))
         longest = max(one.give_up_ms for one in scenario.classes) / 1000
         latest = scenario.length_s + longest + SETTLE_S
         while (now := CLOCK() - self.begun) < latest:
@@ -284,35 +271,22 @@
         return await self._gather()
 
     async def _all_over(self) -> bool:
-        return all([await asyncio.wait_for(worker.ask("done"), ANSWER_S) for worker in self._client_workers])
-
-    async def _later(self, at: float, act: Callable[..., Any], *words: Any) -> None:
-        await asyncio.sleep(max(self.begun + at - CLOCK(), 0.0))
-        result = act(*words)
-        if result is not None:
-            await result
+        return all([await asyncio.wait_for(worker.ask("done"), ANSWER_S) for worker in self.client_workers])
 
     async def _gather(self) -> Played:
         """End routers in good order, and have workers tell all that is left."""
         for task in list(self._tasks):
             task.cancel()
-        running = [router for router in self._routers.values() if router.running]
-        for router in running:
+        for router in self.routers.values():
             router.sample()
-            router.tell(signal.SIGTERM)
-        longest = max(one.give_up_ms for one in self.day.scenario.classes) / 1000
-        await asyncio.gather(*(router.ended(longest + KILL_AFTER_S + 2.0) for router in running))
-        for router in running:
-            if router.running:
-                router.tell(signal.SIGKILL)
-        await asyncio.gather(*(router.ended(END_S) for router in running))
-        workers = self._all_workers()
+        await self.until_ended()
+        workers = self._workers
         for worker in workers:
             worker.sample()
             worker.send(Finish())
         for worker in workers:
             await asyncio.wait_for(worker.finished.wait(), ANSWER_S)
-        for router in self._routers.values():
+        for router in self.routers.values():
             self.history.lives += router.lives
         times = os.times()
         return Played(
@@ -320,59 +294,52 @@
             self.history,
             self.begun,
             self.day.scenario.length_s,
-            {router.name: router.usage for router in self._routers.values()},
+            {router.name: router.usage for router in self.routers.values()},
             {**{worker.name: worker.cpu for worker in workers}, "stage": times.user + times.system},
         )
 
-    def _all_workers(self) -> list[Worker]:
-        hub = [self._hub] if self._hub is not None else []
-        return [*self._node_workers, *hub, *self._client_workers]
-
     async def _end_all(self) -> None:
         for task in list(self._tasks):
             task.cancel()
-        ends = [router.end() for router in self._routers.values()]
-        ends += [worker.end() for worker in self._all_workers()]
+        ends = [router.end() for router in self.routers.values()]
+        ends += [worker.end() for worker in self._workers]
         await asyncio.shield(asyncio.gather(*ends, return_exceptions=True))
 
     # Start
 
     async def _start_workers(self, scenario: Scenario) -> None:
         cores = max(len(self.cores), 1)
-        most = scenario.load.rate * max(factor for _, factor in scenario.load.shape)
+        most = scenario.peak
         nodes = min(ceil(most / NODES_RATE), MOST_NODE_WORKERS, cores, scenario.fleet.nodes)
         clients = min(ceil(most / CLIENTS_RATE), MOST_CLIENT_WORKERS, cores)
         environment = dict(os.environ)
         setups = [("nodes", i, nodes) for i in range(nodes)]
         setups += [("hub", 0, 1), *(("clients", i, clients) for i in range(clients))]
         for role, index, count in setups:
-            worker = Worker(self, f"{role}{index}")
+            worker = WorkerProcess(self, f"{role}{index}")
+            self._workers.append(worker)
             if role == "nodes":
-                self._node_workers.append(worker)
+                self.node_workers.append(worker)
             elif role == "hub":
-                self._hub = worker
+                self.hub = worker
             else:
-                self._client_workers.append(worker)
+                self.client_workers.append(worker)
             setup = Setup(role, index, count, worker.name, scenario, self.day.seed, "127.0.0.1")
             ready = worker.ready()
             await worker.start(setup, environment)
             self._tasks.add(asyncio.ensure_future(self._told(worker, ready, role)))
         await asyncio.wait_for(asyncio.gather(*self._tasks), ANSWER_S + 30)
         self._tasks.clear()
-        assert self._hub is not None
-        self._hub.send(Places(servers=self._places))
+        self.hub.send(Places(servers=self.places))
 
-    async def _told(self, worker: Worker, ready: asyncio.Future[Any], role: str) -> None:
+    async def _told(self, worker: WorkerProcess, ready: asyncio.Future[Any], role: str) -> None:
         told = await ready
         if role == "nodes":
             for name, addresses in told.items():
-                self._home[name] = worker
-                self._add_place(name, addresses)
+                self.home[name] = worker
+                self.add_place(name, addresses)
         elif role == "hub":
-            self._discovery = {name: (host, port) for name, (host, port) in told.items()}
-
-    def _add_place(self, name: str, addresses: dict[str, Any]) -> None:
-        self._places[name] = {zone: (host, port) for zone, (host, port) in addresses.items()}
+            self.discovery = {name: (host, port) for name, (host, port) in told.items()}
 
     async def _start_routers(self, scenario: Scenario, folder: Path) -> None:
         high, low = 64 + os.getpid() % 128, os.getpid() // 128 % 250
@@ -380,129 +347,22 @@
             # An ip of its own: the kernel takes no port here for anybody's outgoing connection, so that a
             # router finds its address free when it starts again.
             address = free_address(f"127.{high}.{low + i // 200}.{10 + i % 200}")
-            self._routers[name] = RouterProcess(
+            self.routers[name] = RouterProcess(
                 name, self._command, self._root, folder, address, CLOCK, self._router_cores
             )
-        await asyncio.gather(*(self._start_router(router) for router in self._routers.values()))
-        places = Places(routers={name: router.address for name, router in self._routers.items()})
-        for worker in self._client_workers:
+        await asyncio.gather(*(self.start_router(router) for router in self.routers.values()))
+        places = Places(routers={name: router.address for name, router in self.routers.items()})
+        for worker in self.client_workers:
             worker.send(places)
-            for name in self._routers:
+            for name in self.routers:
                 worker.send(Front(name, True))
 
-    async def _start_router(self, router: RouterProcess) -> None:
-        """Start one, and wait until it takes requests; it is told the list as discovery has it now."""
-        await self._configure(router)
-        await router.start(self._discovery[router.name])
-        if not await router.ready():
-            lines = router.log.read_text(errors="replace").strip().splitlines()
-            why = f": {lines[-1]}" if lines else ""
-            raise StageError(f"{router.name} did not get ready{why}")
-
-    async def _configure(self, router: RouterProcess) -> None:
-        assert self._hub is not None
-        known = await asyncio.wait_for(self._hub.ask("known", router.name), ANSWER_S)
-        told = configuration(
-            self.day.scenario,
-            self.day.seed,
-            router.name,
-            router.starts,
-            router.address,
-            self._discovery[router.name],
-            known,
-        )
-        router.configure(told)
-
-    # The time line
-
     async def _sample(self) -> None:
         while True:
-            for router in self._routers.values():
+            for router in self.routers.values():
                 router.sample()
             await asyncio.sleep(SAMPLE_S)
 
-    async def _watch_routers(self) -> None:
-        """A router that ends by itself is seen by the front, too; it stays away."""
-        seen: set[str] = set()
-        while True:
-            for name, router in self._routers.items():
-                if not router.running and not router.lives[-1].wanted and name not in seen:
-                    seen.add(name)
-                    self._spawn(self._front_notices(name))
-            await asyncio.sleep(LOOK_S)
-
-    async def _front_notices(self, name: str) -> None:
-        low_high = self.day.scenario.clients.front_notice_s
-        starts = self._routers[name].starts
-        await asyncio.sleep(between(unit(self.day.seed, "front", name, starts), low_high))
-        if not self._routers[name].running:
-            self._front(name, False)
-
-    def _front(self, name: str, up: bool) -> None:
-        for worker in self._client_workers:
-            worker.send(Front(name, up))
-
-    async def _list(self, state: str, server: str) -> None:
-        assert self._hub is not None
-        await asyncio.wait_for(self._hub.ask(state, server), ANSWER_S)
-
-    async def _carry_out(self, step: Step) -> None:
-        assert self._hub is not None
-        verb, target, args = step.verb, step.target, step.args
-        if verb == "restart":
-            await self._restart(self._routers[target], args["signal"])
-        elif verb == "reload":
-            await self._reload(self._routers[target])
-        elif verb == "stall":
-            group = self._node_workers if target == "nodes" else self._client_workers
-            await asyncio.gather(*(worker.ask("stall", "", args) for worker in group))
-        elif target in (STORE, "discovery"):
-            await self._hub.ask(verb, target, args)
-        elif not target:
-            await asyncio.gather(*(worker.ask(verb, "", args) for worker in self._node_workers))
-        else:
-            await self._change_node(verb, target, args)
-
-    async def _change_node(self, verb: str, target: str, args: dict[str, Any]) -> None:
-        """Discovery sees only whether a process runs, so the list changes with starts and ends alone."""
-        if verb == "create":
-            worker = self._home[args["instead"]] if args["instead"] else self._node_workers[0]
-            self._home[target] = worker
-            self._add_place(target, await worker.ask(verb, target, args))
-            assert self._hub is not None
-            self._hub.send(Places(servers={target: self._places[target]}))
-            await self._list("up", target)
-            return
-        await self._home[target].ask(verb, target, args)
-        state = {"kill": "removed", "start": "up", "drain": "draining"}.get(verb)
-        if state is not None:
-            await self._list(state, target)
-
-    async def _restart(self, router: RouterProcess, how: str) -> None:
-        """A planned restart as PROTOCOL has it, or a death that the front sees in its time."""
-        if how == "KILL":
-            router.tell(signal.SIGKILL)
-            await router.ended(END_S)
-            self._spawn(self._front_notices(router.name))
-        else:
-            router.tell(signal.SIGTERM)
-            await asyncio.sleep(ACCEPTS_S)
-            self._front(router.name, False)
-            longest = max(one.give_up_ms for one in self.day.scenario.classes) / 1000
-            if not await router.ended(longest + KILL_AFTER_S - ACCEPTS_S):
-                router.tell(signal.SIGKILL)
-                await router.ended(END_S)
-        await self._start_router(router)
-        self._front(router.name, True)
-
-    async def _reload(self, router: RouterProcess) -> None:
-        """A new file names another address of discovery, and SIGHUP has it read."""
-        assert self._hub is not None
-        host, port = await asyncio.wait_for(self._hub.ask("move", router.name), ANSWER_S)
-        self._discovery[router.name] = (host, port)
-        await self._configure(router)
-        router.tell(signal.SIGHUP)
-
 
 async def play(
     day: Day,
--- /dev/null
+++ b/holdgw/rehearsal/timeline.py
@@ -0,0 +1,230 @@
+"""The time line of a day: what is done to the fleet, to whom, and what discovery and the front hear of it.
+
+Whoever plays a day (real processes on loopback, or simulated ones) has these parts under one interface each.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from typing import Any, Protocol
+
+from holdgw.rehearsal.channel import Front, Message, Places
+from holdgw.rehearsal.checker import Life
+from holdgw.rehearsal.day import STORE, Day, Step
+from holdgw.rehearsal.deployment import configuration
+from holdgw.standins.chance import between, unit
+from holdgw.standins.shell import Clock
+from holdgw.wire.address import Address
+
+ANSWER_S = 30.0  # for a worker to do what it is told
+ACCEPTS_S = 0.3  # new connections still go to a router that was told to end
+KILL_AFTER_S = 0.75  # beyond the longest deadline
+END_S = 5.0
+LOOK_S = 0.2
+
+
+class StageError(Exception):
+    """The day could not be played to its end; one plain line."""
+
+
+class Worker(Protocol):
+    """A part of the emulator."""
+
+    def ask(self, verb: str, target: str = "", args: dict[str, Any] | None = None) -> Awaitable[Any]:
+        """Have it do something; returns what came of it."""
+
+    def send(self, message: Message) -> None:
+        """Send it a message."""
+
+
+class RouterLife(Protocol):
+    """A router and its lives."""
+
+    name: str
+    address: Address
+    starts: int
+    lives: list[Life]
+
+    def configure(self, told: dict[str, Any]) -> None:
+        """Write its configuration."""
+
+    async def start(self, discovery: Address) -> None:
+        """Start a process."""
+
+    async def ready(self) -> bool:
+        """Wait until it takes requests."""
+
+    async def ended(self, within: float) -> bool:
+        """Wait for its end."""
+
+    def tell(self, number: signal.Signals) -> None:
+        """Send a signal."""
+
+    def last_words(self) -> str:
+        """The last line of its log."""
+
+    @property
+    def running(self) -> bool:
+        """Whether its process runs."""
+
+
+class TimeLine:
+    """Carries out a day's steps. Whoever plays the day fills in who is there."""
+
+    node_workers: Sequence[Worker]
+    client_workers: Sequence[Worker]
+    hub: Worker
+    routers: dict[str, Any]
+
+    def __init__(self, day: Day, clock: Clock = time.monotonic) -> None:
+        self.day, self.clock = day, clock
+        self.begun = 0.0
+        self.home: dict[str, Worker] = {}  # of each node
+        self.places: dict[str, dict[str, Address]] = {}
+        self.discovery: dict[str, Address] = {}
+        self._restarting: set[str] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Do something beside all else; a fault in it ends the day."""
+        raise NotImplementedError
+
+    @property
+    def longest(self) -> float:
+        """Seconds for which a client waits at most."""
+        return max(one.give_up_ms for one in self.day.scenario.classes) / 1000
+
+    async def later(self, at: float, act: Callable[..., Any], *words: Any) -> None:
+        """Act at a second of the day."""
+        await asyncio.sleep(max(self.begun + at - self.clock(), 0.0))
+        result = act(*words)
+        if result is not None:
+            await result
+
+    async def until_ended(self) -> None:
+        """Have all routers end in good order, and those that don't, anyhow."""
+        running = [router for router in self.routers.values() if router.running]
+        for router in running:
+            router.tell(signal.SIGTERM)
+        await asyncio.gather(*(router.ended(self.longest + KILL_AFTER_S + 2.0) for router in running))
+        for router in running:
+            if router.running:
+                router.tell(signal.SIGKILL)
+        await asyncio.gather(*(router.ended(END_S) for router in running))
+
+    def add_place(self, name: str, addresses: dict[str, Any]) -> None:
+        """Where a server listens, by zone."""
+        self.places[name] = {zone: (host, port) for zone, (host, port) in addresses.items()}
+
+    async def start_router(self, router: RouterLife) -> None:
+        """Start one, and wait until it takes requests; it is told the list as discovery has it now."""
+        await self._configure(router)
+        await router.start(self.discovery[router.name])
+        if not await router.ready():
+            raise StageError(f"{router.name} did not get ready: {router.last_words()}".rstrip(": "))
+
+    async def _configure(self, router: RouterLife) -> None:
+        known = await asyncio.wait_for(self.hub.ask("known", router.name), ANSWER_S)
+        told = configuration(
+            self.day.scenario,
+            self.day.seed,
+            router.name,
+            router.starts,
+            router.address,
+            self.discovery[router.name],
+            known,
+        )
+        router.configure(told)
+
+    async def watch_routers(self) -> None:
+        """A router that ends by itself is seen by the front, too; it stays away."""
+        seen: set[str] = set()
+        while True:
+            for name, router in self.routers.items():
+                if not router.running and not router.lives[-1].wanted and name not in seen:
+                    seen.add(name)
+                    self.spawn(self._front_notices(name))
+            await asyncio.sleep(LOOK_S)
+
+    async def _front_notices(self, name: str) -> None:
+        low_high = self.day.scenario.clients.front_notice_s
+        starts = self.routers[name].starts
+        await asyncio.sleep(between(unit(self.day.seed, "front", name, starts), low_high))
+        if not self.routers[name].running:
+            self._front(name, False)
+
+    def _front(self, name: str, up: bool) -> None:
+        for worker in self.client_workers:
+            worker.send(Front(name, up))
+
+    async def list_state(self, state: str, server: str) -> None:
+        """The list changes."""
+        await asyncio.wait_for(self.hub.ask(state, server), ANSWER_S)
+
+    async def carry_out(self, step: Step) -> None:
+        """Do one thing to the fleet."""
+        verb, target, args = step.verb, step.target, step.args
+        if verb == "restart":
+            await self._restart(self.routers[target], args["signal"])
+        elif verb == "reload":
+            await self._reload(self.routers[target])
+        elif verb == "stall":
+            group = self.node_workers if target == "nodes" else self.client_workers
+            await asyncio.gather(*(worker.ask("stall", "", args) for worker in group))
+        elif target in (STORE, "discovery"):
+            await self.hub.ask(verb, target, args)
+        elif not target:
+            await asyncio.gather(*(worker.ask(verb, "", args) for worker in self.node_workers))
+        else:
+            await self._change_node(verb, target, args)
+
+    async def home_of_new(self, name: str, instead: str) -> Worker:
+        """The worker that a new node runs in; `instead`: the node whose address it takes, if it does."""
+        return self.home[instead] if instead else self.node_workers[0]
+
+    async def _change_node(self, verb: str, target: str, args: dict[str, Any]) -> None:
+        """Discovery sees only whether a process runs, so the list changes with starts and ends alone."""
+        if verb == "create":
+            worker = self.home[target] = await self.home_of_new(target, args["instead"])
+            self.add_place(target, await worker.ask(verb, target, args))
+            self.hub.send(Places(servers={target: self.places[target]}))
+            await self.list_state("up", target)
+            return
+        await self.home[target].ask(verb, target, args)
+        state = {"kill": "removed", "start": "up", "drain": "draining"}.get(verb)
+        if state is not None:
+            await self.list_state(state, target)
+
+    async def _restart(self, router: RouterLife, how: str) -> None:
+        """A planned restart as PROTOCOL has it, or a death that the front sees in its time."""
+        if router.name in self._restarting:
+            return  # two troubles chose the same one
+        self._restarting.add(router.name)
+        try:
+            await self._end_and_start(router, how)
+        finally:
+            self._restarting.discard(router.name)
+
+    async def _end_and_start(self, router: RouterLife, how: str) -> None:
+        if how == "KILL":
+            router.tell(signal.SIGKILL)
+            await router.ended(END_S)
+            self.spawn(self._front_notices(router.name))
+        else:
+            router.tell(signal.SIGTERM)
+            await asyncio.sleep(ACCEPTS_S)
+            self._front(router.name, False)
+            if not await router.ended(self.longest + KILL_AFTER_S - ACCEPTS_S):
+                router.tell(signal.SIGKILL)
+                await router.ended(END_S)
+        await self.start_router(router)
+        self._front(router.name, True)
+
+    async def _reload(self, router: RouterLife) -> None:
+        """A new file names another address of discovery, and SIGHUP has it read."""
+        host, port = await asyncio.wait_for(self.hub.ask("move", router.name), ANSWER_S)
+        self.discovery[router.name] = (host, port)
+        await self._configure(router)
+        router.tell(signal.SIGHUP)
--- /dev/null
+++ b/holdgw/rehearsal/troubles.py
@@ -0,0 +1,271 @@
+"""What may go wrong on a day: one table a kind, each a `[[trouble]]` of the scenario file."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+from msgspec import Meta
+
+from holdgw.rehearsal.fields import AtLeast0, Count, Positive, Share, Table
+
+
+class _Trouble(Table, frozen=True, kw_only=True, tag_field="kind"):
+    """Something that goes wrong at a second of the day."""
+
+    at: AtLeast0
+    draw: int = -1
+    """Which draw of the seed it takes its nodes and routers from; -1: the one of its place in the file."""
+
+
+class _Simulated(_Trouble, frozen=True, kw_only=True):
+    """A trouble that only simulated lines and processes can have."""
+
+
+Nodes = Count | tuple[str, ...]
+"""So many nodes, drawn by the seed, or these by name."""
+
+
+class Pause(_Trouble, frozen=True, kw_only=True, tag="pause"):
+    """Nodes stand still with their processes running."""
+
+    seconds: Positive
+    nodes: Nodes = 1
+
+
+class Kill(_Trouble, frozen=True, kw_only=True, tag="kill"):
+    """Nodes' processes die and stay away."""
+
+    nodes: Nodes = 1
+
+
+class Restart(_Trouble, frozen=True, kw_only=True, tag="restart"):
+    """Nodes' processes die and start again, cold and empty, under the same ids."""
+
+    nodes: Nodes = 1
+    down_s: AtLeast0 = 0.5
+
+
+class Replace(_Trouble, frozen=True, kw_only=True, tag="replace"):
+    """Nodes die, and others take their place under new ids, cold and empty."""
+
+    nodes: Nodes = 1
+    down_s: AtLeast0 = 1.0
+    same_address: bool = False
+
+
+class Drain(_Trouble, frozen=True, kw_only=True, tag="drain"):
+    """Nodes drain for so long and leave."""
+
+    nodes: Nodes = 1
+    seconds: Positive = 5.0
+
+
+class ColdStart(_Trouble, frozen=True, kw_only=True, tag="cold_start"):
+    """New nodes join, cold and empty."""
+
+    nodes: Count = 1
+
+
+class Flush(_Trouble, frozen=True, kw_only=True, tag="flush"):
+    """The copies of a share of the keys go void at once."""
+
+    share: Share
+
+
+class Scan(_Trouble, frozen=True, kw_only=True, tag="scan"):
+    """A share of the reads asks for keys that are wanted once only."""
+
+    seconds: Positive
+    share: Share
+
+
+class HotCaller(_Trouble, frozen=True, kw_only=True, tag="hot_caller"):
+    """One caller sends a share of all traffic through few routers."""
+
+    seconds: Positive
+    share: Share
+    routers: Count = 1
+
+
+class Burst(_Trouble, frozen=True, kw_only=True, tag="burst"):
+    """The load is so many times as high; of one tenant only, if it is named."""
+
+    seconds: Positive
+    factor: Positive
+    tenant: str = ""
+
+
+class OriginSlow(_Trouble, frozen=True, kw_only=True, tag="origin_slow"):
+    """The package store takes so many times as long."""
+
+    seconds: Positive
+    factor: Positive
+
+
+class OriginDown(_Trouble, frozen=True, kw_only=True, tag="origin_down"):
+    """The package store can't be reached."""
+
+    seconds: Positive
+
+
+class _Spoil(_Trouble, frozen=True, kw_only=True):
+    seconds: Positive
+    share: Share
+    nodes: Nodes | Literal["all"] = "all"
+    store: bool = False
+
+
+class Reset(_Spoil, frozen=True, kw_only=True, tag="reset"):
+    """A share of the answers is a reset; `store`: the package store's too."""
+
+
+class Garble(_Spoil, frozen=True, kw_only=True, tag="garble"):
+    """A share of the answers is noise."""
+
+
+class Silence(_Spoil, frozen=True, kw_only=True, tag="silence"):
+    """A share of the answers never comes."""
+
+
+class DiscoveryLate(_Trouble, frozen=True, kw_only=True, tag="discovery_late"):
+    """Changes of the list come so much later."""
+
+    seconds: Positive
+    extra_s: Positive
+
+
+class DiscoveryStale(_Trouble, frozen=True, kw_only=True, tag="discovery_stale"):
+    """Routers' views of the list stand still; 0 routers: all of them."""
+
+    seconds: Positive
+    routers: Annotated[int, Meta(ge=0)] = 0
+
+
+class DiscoveryDown(_Trouble, frozen=True, kw_only=True, tag="discovery_down"):
+    """Discovery is out."""
+
+    seconds: Positive
+
+
+class RouterRestart(_Trouble, frozen=True, kw_only=True, tag="router_restart"):
+    """Routers are restarted; TERM: as planned, KILL: they die. `gap_s` lies between one and the next."""
+
+    routers: Count = 1
+    signal: Literal["TERM", "KILL"] = "TERM"
+    gap_s: AtLeast0 = 0.0
+
+
+class RouterReload(_Trouble, frozen=True, kw_only=True, tag="router_reload"):
+    """Routers get a new configuration that names another address of discovery, and SIGHUP."""
+
+    routers: Count = 1
+
+
+class Stall(_Trouble, frozen=True, kw_only=True, tag="emulator_stall"):
+    """The emulator itself stands still: to see that such a run is marked void."""
+
+    seconds: Positive
+    where: Literal["nodes", "clients"] = "nodes"
+
+
+class Partition(_Simulated, frozen=True, kw_only=True, tag="partition"):
+    """Nothing comes through between routers and nodes; `way`: both ways, or only to or from the nodes."""
+
+    seconds: Positive
+    nodes: Nodes | Literal["all"] = 1
+    routers: Annotated[int, Meta(ge=0)] = 0
+    """0: all of them."""
+    way: Literal["both", "to", "from"] = "both"
+    store: bool = False
+
+
+class Vanish(_Simulated, frozen=True, kw_only=True, tag="vanish"):
+    """Nodes' machines are gone without a word; the list hears of it after `notice_s`. They come back cold."""
+
+    seconds: Positive
+    nodes: Nodes = 1
+    notice_s: AtLeast0 = 2.0
+
+
+Phase = Literal["accept", "request", "answer", "behind", "vanish"]
+PHASES: tuple[Phase, ...] = ("accept", "request", "answer", "behind", "vanish")
+
+
+class Cut(_Simulated, frozen=True, kw_only=True, tag="cut"):
+    """A share of what is sent breaks its connection: before it is accepted, amid a request or an answer,
+    right behind either, or (`vanish`) so that nobody is told.
+    """
+
+    seconds: Positive
+    share: Share
+    phases: Annotated[tuple[Phase, ...], Meta(min_length=1)] = PHASES
+    lines: Literal["nodes", "store", "servers", "clients", "all"] = "servers"
+
+
+class Weather(_Simulated, frozen=True, kw_only=True, tag="weather"):
+    """All lines are bad: segments are lost and sent again, come in pieces, late, into small buffers."""
+
+    seconds: Positive
+    loss: Annotated[float, Meta(ge=0, le=0.9)] = 0.0
+    chop: Share = 0.0
+    slow_ms: AtLeast0 = 0.0
+    window_kb: Annotated[int, Meta(ge=0)] = 0
+    """Of connections made meanwhile: the bytes that kernels hold of one direction; 0: as usual."""
+
+
+class RouterStop(_Simulated, frozen=True, kw_only=True, tag="router_stop"):
+    """Routers' processes stand still, as by SIGSTOP; their kernels go on."""
+
+    seconds: Annotated[float, Meta(gt=0, le=0.3)]
+    routers: Count = 1
+
+
+class ClockJump(_Simulated, frozen=True, kw_only=True, tag="clock_jump"):
+    """Routers' wall clocks are set forward, or back."""
+
+    by_s: float
+    routers: Count = 1
+
+
+Trouble = (
+    Pause
+    | Kill
+    | Restart
+    | Replace
+    | Drain
+    | ColdStart
+    | Flush
+    | Scan
+    | HotCaller
+    | Burst
+    | OriginSlow
+    | OriginDown
+    | Reset
+    | Garble
+    | Silence
+    | DiscoveryLate
+    | DiscoveryStale
+    | DiscoveryDown
+    | RouterRestart
+    | RouterReload
+    | Stall
+    | Partition
+    | Vanish
+    | Cut
+    | Weather
+    | RouterStop
+    | ClockJump
+)
+
+
+def kind_of(trouble: Trouble) -> str:
+    """The kind as the file words it."""
+    return str(type(trouble).__struct_config__.tag)
+
+
+def only_simulated(trouble: Trouble) -> bool:
+    """Whether real sockets can't play it."""
+    return isinstance(trouble, _Simulated)
+
+
+KINDS: tuple[str, ...] = tuple(str(one.__struct_config__.tag) for one in Trouble.__args__)
--- a/holdgw/rehearsal/worker.py
+++ b/holdgw/rehearsal/worker.py
@@ -13,8 +13,7 @@
 import sys
 import time
 import traceback
-from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import uvloop
 
@@ -43,7 +42,7 @@
 from holdgw.standins.node import NodeServer
 from holdgw.standins.records import LAG_BOUNDS_MS, Lag, Record
 from holdgw.standins.registry_model import Entry, RegistryModel, State
-from holdgw.standins.shell import Host
+from holdgw.standins.shell import Clock, Host
 from holdgw.standins.store import StoreServer
 from holdgw.wire.address import Address
 
@@ -90,14 +89,34 @@
         return lag
 
 
+class Outlet(Protocol):
+    """The way to the stage."""
+
+    def send(self, message: Message) -> None:
+        """Send a message."""
+
+
 class Part:
-    """What all roles have in common: it keeps the records and sends them on."""
+    """What all roles have in common: it keeps the records and sends them on.
+
+    `clock` is in seconds and the same for all parts; `unix` is a wall clock in seconds.
+    """
 
-    def __init__(self, channel: Channel, setup: Setup) -> None:
-        self.channel, self.setup = channel, setup
+    def __init__(
+        self,
+        channel: Outlet,
+        setup: Setup,
+        clock: Clock = CLOCK,
+        unix: Clock = time.time,
+    ) -> None:
+        self.channel, self.setup, self.clock, self.unix = channel, setup, clock, unix
         self.loop = asyncio.get_running_loop()
         self.records: list[Record] = []
 
+    def host(self, name: str, zone: str) -> Host:
+        """Where a server of that name listens, and over which lines."""
+        return Host(self.setup.ip, lines(self.setup.scenario, self.setup.seed, name, zone))
+
     def saw(self, record: Record) -> None:
         """Keep a record."""
         self.records.append(record)
@@ -154,9 +173,10 @@
     def _make(self, name: str) -> NodeServer:
         scenario, seed = self.setup.scenario, self.setup.seed
         zone = zone_of_server(scenario, name)
-        host = Host(self.setup.ip, lines(scenario, seed, name, zone))
         spec = node_spec(scenario, seed, name)
-        node = self.nodes[name] = NodeServer(name, spec, workload(scenario, seed), host, self, CLOCK)
+        node = self.nodes[name] = NodeServer(
+            name, spec, workload(scenario, seed), self.host(name, zone), self, self.clock
+        )
         return node
 
     async def do(self, verb: str, target: str, args: dict[str, Any]) -> Any:
@@ -179,12 +199,14 @@
         elif verb == "kill":
             self.nodes[target].kill()
         elif verb == "start":
-            await self.nodes[target].start(cold=True)
+            if not self.nodes[target].alive:  # another trouble may have brought it back already
+                await self.nodes[target].start(cold=True)
         elif verb == "drain":
             self.nodes[target].drain()
         elif verb == "create":
             node = self._make(target)
             if args["instead"]:
+                self.nodes[args["instead"]].kill()  # another trouble may have brought it back meanwhile
                 node.take_addresses(self.nodes[args["instead"]].addresses)
             await node.start(cold=True)
             return node.addresses
@@ -220,9 +242,10 @@
         self._zone_of = {name: drawn.zone_of_router(scenario, name) for name in routers}
         windows = {one.name: one.window_ms / 1000 for one in scenario.classes}
         zone = zone_of_server(scenario, STORE)
-        host = Host(self.setup.ip, lines(scenario, seed, STORE, zone))
         spec = store_spec(scenario)
-        self.store = StoreServer(STORE, spec, workload(scenario, seed), windows, host, self, CLOCK)
+        self.store = StoreServer(
+            STORE, spec, workload(scenario, seed), windows, self.host(STORE, zone), self, self.clock
+        )
         await self.store.start()
         self._places[STORE] = self.store.addresses
         entries = [self._entry(name) for name in node_names(scenario.fleet)]
@@ -231,11 +254,15 @@
         def notice(view: str, version: int) -> float:
             return between(unit(seed, "notice", view, version), scenario.discovery.notice_s)
 
-        model = RegistryModel(entries, routers, notice, CLOCK())
+        model = RegistryModel(entries, routers, notice, self.clock())
         call_s = scenario.discovery.call_ms / 1000 if scenario.discovery.mode == "ask" else 0.0
-        self.discovery = DiscoveryServer(model, routers, self._where, self, CLOCK, self.setup.ip, call_s)
+        self.discovery = self.make_discovery(model, routers, call_s)
         return await self.discovery.start()
 
+    def make_discovery(self, model: RegistryModel, routers: list[str], call_s: float) -> DiscoveryServer:
+        """Discovery's sockets."""
+        return DiscoveryServer(model, routers, self._where, self, self.clock, self.setup.ip, call_s)
+
     def _entry(self, name: str, started_ms: int = 0) -> Entry:
         scenario = self.setup.scenario
         cell = int(name[4:]) // scenario.fleet.cell
@@ -255,7 +282,7 @@
         if target == "discovery":
             self._do_discovery(verb, args)
         elif verb == "up":
-            self.discovery.change(self._entry(target, int(time.time() * 1000)))
+            self.discovery.change(self._entry(target, int(self.unix() * 1000)))
         elif verb in ("draining", "removed"):
             self.discovery.set_state(target, State(verb))
         elif verb == "known":
@@ -303,8 +330,11 @@
 
     async def start(self) -> Any:
         """Draw the day."""
-        day = drawn.draw(self.setup.scenario, self.setup.seed)
-        self.clients = Clients(day, self.setup.index, self.setup.count, self, CLOCK)
+        self.take_up(drawn.draw(self.setup.scenario, self.setup.seed))
+
+    def take_up(self, day: drawn.Day) -> None:
+        """Have the clients of a day that is drawn."""
+        self.clients = Clients(day, self.setup.index, self.setup.count, self, self.clock)
 
     def places(self, places: Places) -> None:
         """Learn where routers listen."""
@@ -330,7 +360,7 @@
         self.clients.close()
 
 
-ROLES: dict[str, Callable[[Channel, Setup], Part]] = {
+ROLES: dict[str, type[Part]] = {
     "nodes": NodesPart,
     "hub": HubPart,
     "clients": ClientsPart,
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -252,7 +252,9 @@
         """Drop a client that neither takes nor sends: it holds memory and a descriptor."""
         if self._linger is not None or self.transport is None:
             return
-        if self.blocked:
+        # Danger: a client that takes nothing keeps a connection that is being closed open for as long as
+        # the kernel tries, a quarter of an hour; what is left may be too little to count as blocked.
+        if self.blocked or self.transport.is_closing():
             size = self.transport.get_write_buffer_size()
             if size != self._unsent:
                 self._unsent, self.used_at = size, now
--- a/holdgw/router/config.py
+++ b/holdgw/router/config.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 import orjson
 
 from holdgw.policy import Settings
 from holdgw.policy.settings import WireError, read_settings, typed
+from holdgw.router.platform import read_file
 from holdgw.wire.address import Address, parse_address
 
 DEFAULT_MAX_OPEN = 20_000
@@ -45,13 +45,15 @@
     """The list of servers as last held, in discovery's form; it may be old."""
 
 
-def load_config(environ: Mapping[str, str], again: bool = False) -> Config:
+def load_config(
+    environ: Mapping[str, str], again: bool = False, read: Callable[[str], bytes] = read_file
+) -> Config:
     """Read the configuration; the variables go before what the file says, but not when it is read again."""
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG is not set")
     try:
-        told = typed("the file", orjson.loads(Path(path).read_bytes()), dict)
+        told = typed("the file", orjson.loads(read(path)), dict)
         # Danger: the variables are as old as the process, and would hide what a new file names.
         return _config(told, {} if again else environ)
     except OSError as error:
--- a/holdgw/router/discovery.py
+++ b/holdgw/router/discovery.py
@@ -41,8 +41,12 @@
 class Clock:
     """Turns Unix times into times of the monotonic clock, always by the same difference."""
 
-    def __init__(self) -> None:
-        self._behind = time.time_ns() - time.monotonic_ns()
+    def __init__(
+        self,
+        monotonic_ns: Callable[[], int] = time.monotonic_ns,
+        unix_ns: Callable[[], int] = time.time_ns,
+    ) -> None:
+        self._behind = unix_ns() - monotonic_ns()
 
     def monotonic(self, unix_ms: int) -> int:
         """The monotonic time in nanoseconds; 0 stays 0, for long ago."""
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -71,9 +71,10 @@
     def __init__(self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool) -> None:
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
         self._number = request.attempts
-        self._sent_at = time.monotonic_ns()
+        self._sent_at = host.now()
         self._written_at = 0  # 0: not yet
         self._timer: asyncio.TimerHandle | None = None
+        self._write_timer: asyncio.TimerHandle | None = None
         request.attempts += 1
         request.out += 1
 
@@ -81,19 +82,27 @@
         """Give up at the time `due`."""
         self._timer = self._host.call_at(due, self._timed_out)
 
+    def write_by(self, due: int) -> None:
+        """Not be written any more at the time `due`."""
+        self._write_timer = self._host.call_at(due, self._too_late_to_write)
+
+    def _too_late_to_write(self) -> None:
+        if not self._written_at:
+            self.give_up(Outcome.CONNECT_FAILED)
+
     def _timed_out(self) -> None:
         self.give_up(Outcome.TIMEOUT)
 
     def request_bytes(self, address: Address) -> bytes:
         """The client's command again, with what is left of its time."""
         command = self._request.command
-        self._written_at = time.monotonic_ns()
+        self._written_at = self._host.now()
         if self._to_origin:
             method = "GET" if command.value is None else "PUT"
             headers = b"Request-Id: %b\r\nRequest-Info: %b\r\n" % (command.id, command.info)
             target = "/" + quote(command.key, safe=KEY_SAFE)
             return http.request(method, target, f"{address[0]}:{address[1]}", headers, command.value)
-        left = max((self._request.deadline - time.monotonic_ns()) // NS_PER_MS, 1)
+        left = max((self._request.deadline - self._written_at) // NS_PER_MS, 1)
         words = [command.name, command.key, command.id, command.info_with(left)]
         return resp.command(*words) if command.value is None else resp.command(*words, command.value)
 
@@ -107,12 +116,14 @@
         """The first OK is the client's answer; the module is told of every end."""
         if self._timer is not None:
             self._timer.cancel()
+        if self._write_timer is not None:
+            self._write_timer.cancel()
         request, reply = self._request, self._request.reply
         request.out -= 1
         if outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
             reply.send(resp.bulk(value))
-        now = time.monotonic_ns()
+        now = self._host.now()
         event = AttemptEnded(
             request.id,
             self._number,
@@ -137,7 +148,7 @@
 
     def __init__(self, host: RouterHost, server: str, to_origin: bool, timeout: int) -> None:
         self._host, self._server, self._to_origin = host, server, to_origin
-        self._sent_at = time.monotonic_ns()
+        self._sent_at = host.now()
         self._timer = host.call_at(self._sent_at + timeout, self._timed_out)
 
     def _timed_out(self) -> None:
@@ -160,7 +171,7 @@
     ) -> None:
         """Tell the module."""
         self._timer.cancel()
-        latency = time.monotonic_ns() - self._sent_at
+        latency = self._host.now() - self._sent_at
         load = self._host.load(report or value)
         self._host.tell(ProbeEnded(self._server, outcome, latency, load))
 
@@ -169,9 +180,15 @@
     """Feeds the module events one at a time and carries out its actions."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, settings: Settings, seed: int, pool: Pool, max_open: int
+        self,
+        loop: asyncio.AbstractEventLoop,
+        settings: Settings,
+        seed: int,
+        pool: Pool,
+        max_open: int,
+        now: Callable[[], int] = time.monotonic_ns,
     ) -> None:
-        self.loop, self.settings = loop, settings
+        self.loop, self.settings, self.now = loop, settings, now
         self.ready = False
         self.subscribe: Callable[[], None] = lambda: None
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
@@ -184,11 +201,30 @@
         self._origins: set[str] = set()
         self._events: deque[Event] = deque()
         self._handling = False
+        self._timers: dict[asyncio.TimerHandle, None] = {}  # the module's
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
     def close(self) -> None:
-        """Stop the sweep."""
+        """Stop the sweep, and what the module still waits for."""
         self._sweep_timer.cancel()
+        for timer in self._timers:
+            timer.cancel()
+        self._timers.clear()
+
+    def tables(self) -> dict[str, int]:
+        """How much each table holds: requests, those past their deadline, and the module's own."""
+        now = self.now()
+        late = [request for request in self._requests.values() if now > request.deadline + OVERDUE_NS]
+        return {
+            "requests": len(self._requests),
+            "requests_unanswered_late": sum(not request.closed for request in late),
+            "requests_out_late": sum(request.out > 0 for request in late),
+            "recent": len(self._recent),
+            "events": len(self._events),
+            "module_requests": len(self._router._requests),
+            "module_flights": len(self._router._flights),
+            "module_held": len(self._router._held),
+        }
 
     def _sweep(self) -> None:
         """Answer what is past its deadline; there should be none."""
@@ -196,7 +232,7 @@
         # and the request in the tables. Should also catch waiters of a fetch that never ends. It could do
         # harm only if the module still meant to answer, and by now it is late for that.
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
-        due = time.monotonic_ns() - OVERDUE_NS
+        due = self.now() - OVERDUE_NS
         for request in [r for r in self._requests.values() if r.deadline < due and not r.closed]:
             log.warning("a request was past its deadline with no answer")
             self._answer(request.id, FAILED)
@@ -204,7 +240,7 @@
 
     def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call back once the clock shows `due`; never before, though the loop counts in milliseconds."""
-        return self.loop.call_later(max(due - time.monotonic_ns(), 0) / NS_PER_S + TIMER_STEP_S, callback)
+        return self.loop.call_later(max(due - self.now(), 0) / NS_PER_S + TIMER_STEP_S, callback)
 
     def load(self, report: bytes | None) -> tuple[float, ...] | None:
         """A load report in the order of the settings."""
@@ -225,7 +261,7 @@
         elif len(self._requests) >= self._max_open:
             reply.send(b"-BUSY\r\n")
         else:
-            deadline = time.monotonic_ns() + command.timeout_ms * NS_PER_MS
+            deadline = self.now() + command.timeout_ms * NS_PER_MS
             request = OpenRequest(request_id, command, reply, deadline)
             reply.request = request
             self._requests[request_id] = request
@@ -292,16 +328,17 @@
 
     def _list_servers(self, listing: Listing) -> None:
         whole = listing.change.kind is not ListKind.DELTA
-        gone = set(self._pool.listed()) if whole else set()
+        # In the list's order: how exchanges end must not hang on the hashes of names.
+        gone = dict.fromkeys(self._pool.listed()) if whole else {}
         for server in listing.change.servers:
             if server.state is ServerState.READY:
-                gone.discard(server.id)
+                gone.pop(server.id, None)
                 is_origin = server.kind == self.settings.origin_kind
                 (self._origins.add if is_origin else self._origins.discard)(server.id)
                 connect = OriginConnection if is_origin else CacheConnection
                 self._pool.list_server(server.id, listing.addresses[server.id], connect)
             else:
-                gone.add(server.id)
+                gone[server.id] = None
         for server_id in gone:
             # Danger: an attempt that waits for a connection would reach a draining server long after.
             self._pool.unlist_server(server_id)
@@ -325,7 +362,7 @@
             while self._events:
                 event = self._events.popleft()
                 try:
-                    for action in self._router.handle(event, time.monotonic_ns()):
+                    for action in self._router.handle(event, self.now()):
                         self._carry_out(action)
                 except Exception:
                     log.exception("handling %s failed", type(event).__name__)
@@ -345,7 +382,7 @@
             case Send():
                 self._send(action)
             case SetTimer():
-                self._set_timer(time.monotonic_ns() + action.delay, action.token)
+                self._set_timer(self.now() + action.delay, action.token)
             case Refuse():
                 wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
                 self._answer(action.request, b"-BUSY%b\r\n" % wait)
@@ -364,21 +401,25 @@
         if request is None:
             log.error("the module sent a request that is over")
             return
-        now = time.monotonic_ns()
+        now = self.now()
         attempt = Attempt(self, request, action.server, action.server in self._origins)
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.MOOT)
             return
         due = min(now + action.timeout, request.deadline) if action.timeout else request.deadline
         attempt.wait_until(due)
+        if action.within:
+            attempt.write_by(now + action.within)
         self._pool.submit(action.server, attempt)
 
     def _set_timer(self, due: int, token: str) -> None:
         def fire() -> None:
+            del self._timers[timer]
             # Danger: a timer that comes early tells the module nothing, and the request waits for ever.
-            if time.monotonic_ns() < due:
+            if self.now() < due:
                 self._set_timer(due, token)
             else:
                 self.tell(TimerFired(token))
 
-        self.call_at(due, fire)
+        timer = self.call_at(due, fire)
+        self._timers[timer] = None
--- /dev/null
+++ b/holdgw/router/program.py
@@ -0,0 +1,125 @@
+"""One router from its start to its end: what it is made of, its reload, and its drain on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from dataclasses import replace
+
+from holdgw.policy import ListKind
+from holdgw.policy.interface import NS_PER_S
+from holdgw.router.clients import ClientServer
+from holdgw.router.config import Config, ConfigError, load_config
+from holdgw.router.discovery import Clock, Discovery, Listing, read_listing
+from holdgw.router.host import RouterHost
+from holdgw.router.platform import Platform
+from holdgw.router.upstream import Pool
+from holdgw.wire.address import Address
+
+READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
+ACCEPT_S = 0.5  # from SIGTERM on: new connections go on coming for up to 0.4 s
+MIDWAY_S = 0.65  # then commands that are not whole are no longer waited for
+KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
+DRAIN_STEP_S = 0.01
+OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
+CLIENT_SHARE = 0.5  # of the other descriptors: clients' requests hold a third of all at most
+
+log = logging.getLogger("holdgw")
+
+
+class Program:
+    """A router's parts; `run` is its whole life."""
+
+    def __init__(self, config: Config, platform: Platform | None = None) -> None:
+        self.config, self.platform = config, platform or Platform()
+        self.loop = loop = asyncio.get_running_loop()
+        descriptors = max(config.sockets - OWN_DESCRIPTORS, 8)
+        for_clients = int(descriptors * CLIENT_SHARE)
+        now = self.platform.monotonic_ns
+        self.pool = Pool(
+            loop, descriptors - for_clients, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
+        )
+        self.host = RouterHost(loop, config.settings, config.seed, self.pool, config.max_open, now)
+        self.clients = ClientServer(loop, self.host, for_clients)
+        self.clock = Clock(now, self.platform.unix_ns)
+        asked = config.settings.must_subscribe
+        self.discovery = Discovery(
+            config.discovery, asked, self.clock, self._take, self.host.discovery_failed
+        )
+        self.host.subscribe = self.discovery.subscribe
+
+    def _take(self, listing: Listing) -> None:
+        self.host.servers_changed(listing)
+        self.host.ready = True
+
+    def _make_do(self) -> None:
+        self.host.ready = True
+
+    async def run(self, listening: asyncio.Future[Address] | None = None) -> None:
+        """Serve until SIGTERM, and then until all that was taken is answered; tells where it listens."""
+        config, loop = self.config, self.loop
+        # Danger: a fault in one callback, printed each time it comes, would take the CPU of the others.
+        loop.set_exception_handler(
+            lambda _, context: log.error("%s", context["message"], exc_info=context.get("exception"))
+        )
+        terminated = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, terminated.set)
+        if config.known is not None:
+            known = read_listing(config.known, self.clock, ListKind.CACHED)
+            self.discovery.know(known.generation)
+            self.host.servers_changed(known)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        address = await self.clients.listen(config.listen)
+        if listening is not None:
+            listening.set_result(address)
+        if not config.settings.must_subscribe:
+            self.discovery.start()
+        make_do = loop.call_later(READY_S, self._make_do) if config.known is not None else None
+        await terminated.wait()
+        await self._drain()
+        if make_do is not None:
+            make_do.cancel()
+        self.clients.close()
+        self.host.close()
+        self.discovery.close()
+        self.pool.close()
+        await asyncio.sleep(0)  # lets the transports close
+
+    def tables(self) -> dict[str, int]:
+        """How much each of the router's tables holds now, for tests of what is left behind."""
+        return {"clients": self.clients.connected, **self.host.tables(), **self.pool.tables()}
+
+    def _reload(self) -> None:
+        """Read the configuration again, while all goes on; what can't be read changes nothing."""
+        try:
+            new = load_config(self.platform.environ, again=True, read=self.platform.read)
+        except ConfigError as error:
+            log.error("reload: %s; the old configuration stays", error)
+            return
+        log.info("reload: discovery at %s:%d", *new.discovery)
+        self.discovery.move(new.discovery)
+        config = self.config
+        kept = replace(new, discovery=config.discovery, known=config.known, seed=config.seed)
+        if kept != config:
+            log.warning("reload: only the address of discovery is taken over; the rest waits for a restart")
+
+    async def _drain(self) -> None:
+        """Answer all that is taken, close clients' connections between requests, be done before the kill."""
+        loop, clients = self.loop, self.clients
+        begun = loop.time()
+        longest = max(cls.deadline for cls in self.config.settings.classes) / NS_PER_S
+        # Danger: clients are sent here for a while yet, and what they send to a closed door is lost.
+        await asyncio.sleep(ACCEPT_S)
+        clients.stop_accepting()
+        while clients.connected and loop.time() < begun + longest + KILL_SLACK_S:
+            await asyncio.sleep(DRAIN_STEP_S)
+            if loop.time() >= begun + MIDWAY_S:
+                clients.finish(even_midway=True)
+
+
+async def serve(
+    config: Config, listening: asyncio.Future[Address] | None = None, platform: Platform | None = None
+) -> None:
+    """Run a router until SIGTERM, and then until all that was taken is answered."""
+    await Program(config, platform).run(listening)
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -162,8 +162,8 @@
         self.pool, self.id, self.address, self.connect = pool, server_id, address, connect
         self.open = True  # listed, and not draining
         self.idle: list[Connection] = []  # the one used last at the end: spares grow old and are retired
-        self.connections: set[Connection] = set()
-        self.dials: set[asyncio.Task[None]] = set()
+        self.connections: dict[Connection, None] = {}
+        self.dials: dict[asyncio.Task[None], None] = {}
         self.waiting: deque[Exchange] = deque()
 
     @property
@@ -248,7 +248,7 @@
         server = connection.server
         if connection not in server.connections:
             return
-        server.connections.discard(connection)
+        server.connections.pop(connection, None)
         self._held -= 1
         if connection in server.idle:
             server.idle.remove(connection)
@@ -256,6 +256,19 @@
         self._forget(server)
         self._feed_starved()
 
+    def tables(self) -> dict[str, int]:
+        """How much each table holds: connections, those in use, dials, waiters, and descriptors counted."""
+        servers = self._servers.values()
+        return {
+            "servers": len(servers),
+            "connections": sum(len(server.connections) for server in servers),
+            "connections_idle": sum(len(server.idle) for server in servers),
+            "dials": sum(len(server.dials) for server in servers),
+            "waiting": sum(len(server.waiting) for server in servers),
+            "descriptors_counted": self._held,
+            "starved": len(self._starved),
+        }
+
     def _feed_starved(self) -> None:
         """A descriptor may be had now: dial for those who waited for one, the longest first."""
         # Danger: at the limit a server's waiters would sit out their time beside idle connections of others.
@@ -268,7 +281,7 @@
         """Close everything."""
         self._sweep_timer.cancel()
         for server in list(self._servers.values()):
-            for dial in server.dials:
+            for dial in list(server.dials):
                 dial.cancel()
             for connection in list(server.connections):
                 connection.close()
@@ -283,7 +296,7 @@
                 return
             self._held += 1
             dial = self._loop.create_task(self._dial(server))
-            server.dials.add(dial)
+            server.dials[dial] = None
 
     def _evict(self) -> bool:
         """Free one descriptor: the longest idle connection's."""
@@ -293,7 +306,7 @@
         oldest = min(idle, key=lambda connection: connection.idle_since)
         server = oldest.server
         server.idle.remove(oldest)
-        server.connections.discard(oldest)
+        server.connections.pop(oldest, None)
         self._held -= 1
         oldest.close()
         return True
@@ -317,7 +330,7 @@
         except OSError:
             pass
         finally:
-            server.dials.discard(task)
+            server.dials.pop(task, None)
             if connection is None:
                 connecting.cancel()
                 self._held -= 1
@@ -326,7 +339,7 @@
                 self._held -= 1
             self._dial_failed(server)
             return
-        server.connections.add(connection)
+        server.connections[connection] = None
         connection.retired = not server.open or server.address != address
         self.released(connection)
 
--- /dev/null
+++ b/holdgw/simulation/guard.py
@@ -0,0 +1,72 @@
+"""Sees the real world leak into a run: code of ours that asks the machine for time, chance or a thread.
+
+While a world runs, the functions below raise where a module of this package calls them. What was taken hold
+of before (a default argument, a name imported from its module) is not seen here but by the digest: two runs
+of one seed, in two processes, must have the same.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import sys
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+from holdgw.simulation.world import World
+
+WATCHED: tuple[tuple[Any, str], ...] = (
+    *((time, name) for name in ("time", "time_ns", "monotonic", "monotonic_ns", "perf_counter", "sleep")),
+    *(
+        (random, name)
+        for name in ("random", "randint", "randrange", "uniform", "choice", "shuffle", "sample")
+    ),
+    (random, "SystemRandom"),
+    (os, "urandom"),
+    (uuid, "uuid1"),
+    (uuid, "uuid4"),
+    (threading.Thread, "start"),
+)
+
+
+class LeakError(BaseException):
+    """The real world leaked into a run. No `except Exception` of the program under test may swallow it."""
+
+
+class Guard:
+    """Watches while it is entered; one at a time in a process."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._kept: list[tuple[Any, str, Any]] = []
+
+    def __enter__(self) -> Guard:
+        """Begin to watch."""
+        for owner, name in WATCHED:
+            kept = getattr(owner, name)
+            self._kept.append((owner, name, kept))
+            setattr(owner, name, self._watching(f"{getattr(owner, '__name__', owner)}.{name}", kept))
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        """Stop watching."""
+        for owner, name, kept in reversed(self._kept):
+            setattr(owner, name, kept)
+        self._kept.clear()
+
+    def _watching(self, name: str, kept: Callable[..., Any]) -> Callable[..., Any]:
+        def watched(*args: Any, **kwargs: Any) -> Any:
+            caller = sys._getframe(1).f_globals.get("__name__", "")
+            if caller.startswith("holdgw."):
+                error = LeakError(f"{caller} called {name} in a simulated run")
+                self._world.fail(error)
+                raise error
+            return kept(*args, **kwargs)
+
+        return watched
--- /dev/null
+++ b/holdgw/simulation/invariants.py
@@ -0,0 +1,158 @@
+"""What must hold beyond the four rules, looked at as a run goes on.
+
+No request stands open past its deadline; no table outgrows its bound; once all is quiet, tables, descriptors,
+timers and tasks are back to what they were before the day; a router that ended in good order left nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from holdgw.rehearsal.checker import Broken
+from holdgw.router.clients import REFUSERS
+from holdgw.router.host import RECENT
+from holdgw.router.program import CLIENT_SHARE, OWN_DESCRIPTORS
+from holdgw.simulation.process import Process
+from holdgw.simulation.world import NS_PER_MS, World, name_of
+
+if TYPE_CHECKING:
+    from holdgw.simulation.play import Theatre
+
+LOOK_NS = 250 * NS_PER_MS
+LATE_NS = 60 * NS_PER_MS  # beyond its deadline, when the sweep must have answered a request
+LISTENERS = 2  # descriptors that are neither a client's nor a server's: the listener, and discovery's call
+SPARE_TIMERS = 2
+EMPTY = (
+    "requests",
+    "events",
+    "module_requests",
+    "module_flights",
+    "module_held",
+    "clients",
+    "dials",
+    "waiting",
+    "starved",
+)
+"""Tables that hold nothing once nobody asks."""
+INVARIANTS = ("overdue", "unbounded", "left_over", "fault")
+
+
+@dataclass(slots=True)
+class Reading:
+    """What a quiet router holds."""
+
+    timers: int
+    tasks: int
+
+
+def _names(tasks: Iterable[asyncio.Task[Any]]) -> str:
+    return ", ".join(sorted(str(getattr(task.get_coro(), "__qualname__", "?")) for task in tasks))
+
+
+class Watch:
+    """Looks at all routers now and then."""
+
+    def __init__(self, world: World, theatre: Theatre) -> None:
+        self._world, self._theatre = world, theatre
+        self.broken: list[Broken] = []
+        self._lives: dict[str, list[Process]] = {}
+        self._base: dict[str, Reading] = {}
+        self._said: set[tuple[str, str]] = set()
+
+    def broke(self, what: str, text: str, at: float | None = None) -> None:
+        """An invariant is broken; each is told of once a router."""
+        if (what, text) not in self._said:
+            self._said.add((what, text))
+            self.broken.append(Broken(what, self._world.seconds if at is None else at, (), text))
+
+    def began(self, name: str, process: Process) -> None:
+        """A router's process has started."""
+        self._lives.setdefault(name, []).append(process)
+
+    def faults(self, name: str) -> list[tuple[int, list[str]]]:
+        """Faults in callbacks of each of a router's lives."""
+        return [(i + 1, process.faults) for i, process in enumerate(self._lives.get(name, ()))]
+
+    def begin(self, at: float) -> None:
+        """The day begins then: what routers hold now is their base."""
+        for name, router in self._theatre.routers.items():
+            if router.process is not None:
+                self._base[name] = self._reading(router.process)
+        self._world.at(self._world.now + LOOK_NS, None, self._look)
+
+    def _reading(self, process: Process) -> Reading:
+        return Reading(len(self._world.pending(process)), len(process.loop.tasks))
+
+    def _look(self) -> None:
+        self._world.at(self._world.now + LOOK_NS, None, self._look)
+        for name, router in self._theatre.routers.items():
+            program, process = router.program, router.process
+            if program is None or process is None or not process.running:
+                continue
+            tables, config = program.tables(), program.config
+            if tables["requests_unanswered_late"] and not self._just_went_on(name):
+                self.broke("overdue", f"{name}: a request stands unanswered past its deadline")
+            if tables["requests_out_late"] and not self._just_went_on(name):
+                self.broke("overdue", f"{name}: an attempt is out past its request's deadline")
+            others = max(config.sockets - OWN_DESCRIPTORS, 8)
+            for_clients = int(others * CLIENT_SHARE)
+            bounds = {
+                "requests": config.max_open,
+                "recent": RECENT,
+                "clients": for_clients + REFUSERS + 1,
+                "descriptors_counted": others - for_clients,
+                "events": 10_000,
+            }
+            for table, bound in bounds.items():
+                if tables[table] > bound:
+                    self.broke("unbounded", f"{name}: {table} holds {tables[table]}, over {bound}")
+            if process.most_open > config.sockets:
+                self.broke("unbounded", f"{name}: held {process.most_open} descriptors of {config.sockets}")
+
+    def _just_went_on(self, name: str) -> bool:
+        now = self._theatre.clock()
+        stops = self._theatre.history.stops
+        return any(router == name and now - until < LOOK_NS / 1e9 for router, _, until in stops)
+
+    def quiet(self) -> None:
+        """All is over and has been for a while."""
+        for name, router in self._theatre.routers.items():
+            program, process = router.program, router.process
+            if program is None or process is None or not process.running:
+                continue
+            tables = program.tables()
+            for table in EMPTY:
+                if tables[table]:
+                    self.broke("left_over", f"{name}: {table} still holds {tables[table]} when all is quiet")
+            known = tables["clients"] + tables["descriptors_counted"] + LISTENERS
+            if len(process.open) > known:
+                text = f"{name}: {len(process.open)} descriptors are open, and {known} are accounted for"
+                self.broke("left_over", text)
+            base, now = self._base.get(name), self._reading(process)
+            if base is None:
+                continue
+            if now.timers > base.timers + SPARE_TIMERS:
+                names = ", ".join(sorted({name_of(call._callback) for call in self._world.pending(process)}))
+                self.broke("left_over", f"{name}: {now.timers} timers, {base.timers} before the day: {names}")
+            if now.tasks > base.tasks:
+                names = _names(process.loop.tasks)
+                self.broke("left_over", f"{name}: {now.tasks} tasks, {base.tasks} before the day: {names}")
+
+    def ended(self, name: str, process: Process, wanted: str) -> None:
+        """A router's process has ended."""
+        left = process.left
+        if wanted != "TERM" or process.code != 0 or left is None:
+            return
+        tasks = [task for task in left.tasks if task is not process.main]
+        if tasks:
+            names = _names(tasks)
+            self.broke("left_over", f"{name} ended with tasks left: {names}")
+        if left.descriptors:
+            kinds = ", ".join(sorted({type(one).__name__ for one in left.descriptors}))
+            self.broke("left_over", f"{name} ended with {len(left.descriptors)} descriptors open: {kinds}")
+        if left.timers:
+            names = ", ".join(sorted({name_of(call._callback) for call in left.timers}))
+            self.broke("left_over", f"{name} ended with {len(left.timers)} timers left: {names}")
--- /dev/null
+++ b/holdgw/simulation/loop.py
@@ -0,0 +1,220 @@
+"""asyncio's interface to the simulated world: one loop a process, on the process's own clock.
+
+A router's timers are rounded as uvloop rounds them (a whole number of milliseconds, counted from a clock that
+is itself cut to milliseconds), so that code which relies on finer ones fails here as it would there; the
+emulator's are fine. What needs a real machine (threads, subprocesses, name look-ups, files as sockets, TLS)
+raises NotImplementedError.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import logging
+import math
+from collections.abc import Callable, Coroutine, Generator
+from contextvars import Context
+from typing import TYPE_CHECKING, Any, NoReturn
+
+from holdgw.simulation.world import NS_PER_MS, NS_PER_S, Handle
+
+if TYPE_CHECKING:
+    from holdgw.simulation.process import Process
+
+log = logging.getLogger("holdgw.simulation")
+
+
+class ProcessLoop(asyncio.AbstractEventLoop):
+    """The loop of one simulated process."""
+
+    def __init__(self, process: Process, fine: bool = False) -> None:
+        self.process, self._fine = process, fine
+        self._world = process.world
+        self._handler: Callable[[asyncio.AbstractEventLoop, dict[str, Any]], object] | None = None
+        self.tasks: dict[asyncio.Task[Any], None] = {}
+
+    # Time and calls
+
+    def time(self) -> float:
+        """Seconds of the process's monotonic clock, cut to milliseconds as libuv's cached time is."""
+        if self._fine:
+            return self.process.monotonic_ns() / NS_PER_S
+        return self.process.monotonic_ns() // NS_PER_MS / 1000
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> Handle:
+        """Call behind what is ready already."""
+        return self._world.soon(self.process, callback, args, context or contextvars.copy_context())
+
+    def call_soon_threadsafe(  # type: ignore[override]
+        self, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> Handle:
+        """The same: there are no threads."""
+        return self.call_soon(callback, *args, context=context)
+
+    def call_later(  # type: ignore[override]
+        self, delay: float, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> Handle:
+        """Call after `delay` seconds, rounded to milliseconds where timers are not fine."""
+        process = self.process
+        if self._fine:
+            if delay <= 0:
+                return self.call_soon(callback, *args, context=context)
+            local = process.monotonic_ns() + math.ceil(delay * NS_PER_S)
+        else:
+            step = round(delay * 1000)
+            if step <= 0:
+                return self.call_soon(callback, *args, context=context)
+            local = (process.monotonic_ns() // NS_PER_MS + step) * NS_PER_MS
+        return self._world.at(
+            process.world_time(local), process, callback, args, context or contextvars.copy_context()
+        )
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Callable[..., object], *args: Any, context: Context | None = None
+    ) -> Handle:
+        """Call when the loop's clock shows `when`."""
+        return self.call_later(when - self.time(), callback, *args, context=context)
+
+    def is_running(self) -> bool:
+        """Whether the process's code runs just now."""
+        return self._world.current is self.process
+
+    def is_closed(self) -> bool:
+        """Whether the process has ended."""
+        return not self.process.alive
+
+    def get_debug(self) -> bool:
+        """Never."""
+        return False
+
+    def set_debug(self, enabled: bool) -> None:
+        """Nothing changes."""
+
+    # Tasks and futures
+
+    def create_future(self) -> asyncio.Future[Any]:
+        """A future of this loop."""
+        return asyncio.Future(loop=self)
+
+    def create_task(
+        self,
+        coro: Coroutine[Any, Any, Any] | Generator[Any, None, Any],
+        *,
+        name: str | None = None,
+        context: Context | None = None,
+    ) -> asyncio.Task[Any]:
+        """A task of this process; it is known until it is over."""
+        task: asyncio.Task[Any] = asyncio.Task(coro, loop=self, name=name, context=context)
+        # Danger: a task that nobody holds is collected whenever memory is, which no seed decides; and the
+        # tasks of a dead process would then run their `finally` blocks.
+        self.tasks[task] = None
+        task.add_done_callback(self._task_over)
+        return task
+
+    def _task_over(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.pop(task, None)
+
+    # Faults
+
+    def set_exception_handler(
+        self, handler: Callable[[asyncio.AbstractEventLoop, dict[str, Any]], object] | None
+    ) -> None:
+        """Who is told of faults in callbacks."""
+        self._handler = handler
+
+    def get_exception_handler(self) -> Callable[[asyncio.AbstractEventLoop, dict[str, Any]], object] | None:
+        """Who is told."""
+        return self._handler
+
+    def default_exception_handler(self, context: dict[str, Any]) -> None:
+        """Keep it with the process."""
+        error = context.get("exception")
+        text = f"{context.get('message')}: {type(error).__name__}: {error}"
+        self.process.faults.append(text)
+        self._world.trace.add(self._world.now, self.process.name, "fault", text)
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """Tell of a fault."""
+        if not self.process.alive or self._world.over:
+            return
+        if self._handler is None:
+            self.default_exception_handler(context)
+            return
+        error = context.get("exception")
+        self.process.faults.append(f"{context.get('message')}: {type(error).__name__}: {error}")
+        self._handler(self, context)
+
+    # Signals
+
+    def add_signal_handler(  # type: ignore[override]
+        self, sig: int, callback: Callable[..., object], *args: Any
+    ) -> None:
+        """The process takes this signal."""
+        self.process.on_signal(sig, lambda: callback(*args))
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        """It does so no longer."""
+        return self.process.off_signal(sig)
+
+    # Network
+
+    async def create_connection(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        host: str,
+        port: int,
+        *,
+        local_addr: tuple[str, int] | None = None,
+        **others: Any,
+    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        """Connect to a literal address."""
+        _none_of(others)
+        return await self.process.network.connect(self.process, protocol_factory, (host, port), local_addr)
+
+    async def create_server(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
+        host: str,
+        port: int,
+        *,
+        backlog: int = 100,
+        start_serving: bool = True,
+        reuse_address: bool | None = None,
+        **others: Any,
+    ) -> asyncio.AbstractServer:
+        """Listen at a literal address of the process's host; port 0 takes a free one."""
+        _none_of(others)
+        server = self.process.network.listen(self.process, protocol_factory, (host, port), backlog)
+        if start_serving:
+            await server.start_serving()
+        return server
+
+    async def create_datagram_endpoint(  # type: ignore[override]
+        self,
+        protocol_factory: Callable[[], asyncio.DatagramProtocol],
+        local_addr: tuple[str, int] | None = None,
+        remote_addr: tuple[str, int] | None = None,
+        **others: Any,
+    ) -> tuple[asyncio.DatagramTransport, asyncio.DatagramProtocol]:
+        """A datagram socket, bound or connected or both."""
+        _none_of(others)
+        return await self.process.network.datagrams(self.process, protocol_factory, local_addr, remote_addr)
+
+    async def getaddrinfo(self, host: Any, port: Any, **_: Any) -> NoReturn:
+        """There are no names here."""
+        raise NotImplementedError("the simulation knows literal addresses only")
+
+    def run_in_executor(self, executor: Any, func: Any, *args: Any) -> NoReturn:  # type: ignore[override]
+        """There are no threads here: when one ran would not hang on the seed."""
+        raise NotImplementedError("threads can't be simulated")
+
+    async def shutdown_asyncgens(self) -> None:
+        """Nothing is kept of them."""
+
+
+def _none_of(others: dict[str, Any]) -> None:
+    odd = [name for name, value in others.items() if value]
+    if odd:
+        raise NotImplementedError(f"the simulation has no {', '.join(odd)}")
--- /dev/null
+++ b/holdgw/simulation/process.py
@@ -0,0 +1,218 @@
+"""A simulated process: its loop, its clocks, its signals, its descriptors, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from collections import deque
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from holdgw.simulation.loop import ProcessLoop
+from holdgw.simulation.world import NS_PER_S, Handle, World
+
+if TYPE_CHECKING:
+    from holdgw.simulation.network import Host, Network
+
+UNIX_START_NS = 1_700_000_000 * NS_PER_S
+PPM = 1_000_000
+BOOT_NS = 3_600 * NS_PER_S  # clocks of processes begin anywhere within it
+OWN_DESCRIPTORS = 3
+LOG_LINES = 50
+
+log = logging.getLogger("holdgw.simulation")
+
+
+@dataclass(slots=True)
+class Left:
+    """What a process still had when it ended."""
+
+    tasks: list[asyncio.Task[Any]]
+    descriptors: list[Any]
+    timers: list[Handle]
+
+
+class Process:
+    """A program on a host. `drift_ppm`: how much its clocks are too fast; `fine`: its timers are finer than
+    uvloop's; `descriptors`: most it may hold.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        network: Network,
+        host: Host,
+        name: str,
+        drift_ppm: int = 0,
+        fine: bool = True,
+        descriptors: int = 1 << 30,
+    ) -> None:
+        self.world, self.network, self.host, self.name = world, network, host, name
+        self.homes = [host]
+        """Hosts on whose addresses it may listen: its own, and those it plays in one process."""
+        self.alive, self.stopped = True, False
+        self.code: int | None = None
+        self.on_exit: Callable[[Process], None] = lambda _: None
+        self.kill_after: int | None = None  # so many of its callbacks are still run
+        self.descriptors = descriptors
+        self.open: dict[Any, None] = {}  # transports and listeners that hold a descriptor
+        self.most_open = 0
+        self.main: asyncio.Task[int] | None = None
+        self.left: Left | None = None
+        self.log: deque[str] = deque(maxlen=LOG_LINES)
+        self.faults: list[str] = []
+        """Faults in callbacks that nobody in the process took care of."""
+        self._drift = drift_ppm
+        self._began = world.now
+        self._base = world.random.randrange(BOOT_NS)
+        self._jump = 0
+        self._missed: list[Handle] = []
+        self._handlers: dict[int, Callable[[], object]] = {}
+        # Whatever else the abstract loop names raises NotImplementedError, as it should here.
+        self.loop = ProcessLoop(self, fine)  # type: ignore[abstract]
+        world.processes.append(self)
+
+    # Clocks
+
+    def local(self, at: int) -> int:
+        """The process's monotonic clock, nanoseconds, at a time of the world."""
+        passed = at - self._began
+        return self._base + passed + passed * self._drift // PPM
+
+    def world_time(self, local: int) -> int:
+        """The first time of the world at which the process's monotonic clock shows `local`."""
+        passed = local - self._base
+        if not self._drift:
+            return self._began + passed
+        at = self._began + passed * PPM // (PPM + self._drift)
+        while self.local(at) < local:
+            at += 1
+        return at
+
+    def monotonic_ns(self) -> int:
+        """The process's monotonic clock."""
+        return self.local(self.world.now)
+
+    def unix_ns(self) -> int:
+        """The process's wall clock: it may be set."""
+        return UNIX_START_NS + self.world.now + self._jump
+
+    def jump(self, nanoseconds: int) -> None:
+        """The wall clock is set so much forward or back."""
+        self._jump += nanoseconds
+        self.world.trace.add(self.world.now, self.name, "clock", str(nanoseconds))
+
+    # Life
+
+    @property
+    def running(self) -> bool:
+        """Whether its code runs: it lives, and is not stopped."""
+        return self.alive and not self.stopped
+
+    def start(self, main: Coroutine[Any, Any, int]) -> None:
+        """Run a program; its result is the exit code."""
+        self.world.trace.add(self.world.now, self.name, "start")
+        self.main = self.loop.create_task(main)
+        self.main.add_done_callback(self._main_over)
+
+    def _main_over(self, main: asyncio.Task[int]) -> None:
+        if main.cancelled():
+            self._end(1)
+        elif (error := main.exception()) is not None:
+            self.faults.append(f"{type(error).__name__}: {error}")
+            self._end(1)
+        else:
+            self._end(main.result())
+
+    def missed(self, handle: Handle) -> None:
+        """A call that came while it was stopped is made when it goes on; the dead get none."""
+        if self.alive:
+            self._missed.append(handle)
+
+    def stop(self) -> None:
+        """Stand still, as by SIGSTOP: the kernel goes on for it."""
+        self.stopped = True
+        self.world.trace.add(self.world.now, self.name, "stop")
+
+    def go_on(self) -> None:
+        """Run again."""
+        if not self.stopped:
+            return
+        self.stopped = False
+        self.world.trace.add(self.world.now, self.name, "continue")
+        missed, self._missed = self._missed, []
+        for handle in missed:
+            if not handle.cancelled():
+                self.world.put(handle)
+
+    def kill(self, after: int = 0) -> None:
+        """Die, as by SIGKILL; with `after`, so many callbacks on, at whatever await it has come to."""
+        if after:
+            self.kill_after = after
+        else:
+            self._end(-signal.SIGKILL)
+
+    def one_step_nearer_to_its_death(self) -> None:
+        """One more callback was run."""
+        assert self.kill_after is not None
+        self.kill_after -= 1
+        if self.kill_after <= 0:
+            self._end(-signal.SIGKILL)
+
+    def _end(self, code: int) -> None:
+        if not self.alive:
+            return
+        self.alive, self.code = False, code
+        self.kill_after = None
+        self._missed.clear()
+        self.left = Left(
+            [task for task in self.loop.tasks if not task.done()],
+            list(self.open),
+            self.world.pending(self),
+        )
+        self.world.trace.add(self.world.now, self.name, "exit", str(code))
+        for held in list(self.open):
+            held.process_died()
+        self.open.clear()
+        self.on_exit(self)
+
+    # Signals
+
+    def on_signal(self, number: int, callback: Callable[[], object]) -> None:
+        """The process takes this signal itself."""
+        self._handlers[number] = callback
+
+    def off_signal(self, number: int) -> bool:
+        """It does so no longer; returns whether it had."""
+        return self._handlers.pop(number, None) is not None
+
+    def tell(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        if not self.alive:
+            return
+        self.world.trace.add(self.world.now, self.name, "signal", number.name)
+        if number is signal.SIGKILL:
+            self._end(-number)
+        elif number is signal.SIGSTOP:
+            self.stop()
+        elif number is signal.SIGCONT:
+            self.go_on()
+        elif number in self._handlers:
+            self.world.soon(self, self._handlers[number])
+        else:
+            self._end(-number)
+
+    # Descriptors
+
+    def take_descriptor(self, holder: Any) -> None:
+        """Hold one more descriptor; raises OSError where it may not."""
+        if len(self.open) + OWN_DESCRIPTORS >= self.descriptors:
+            raise OSError(24, "Too many open files")
+        self.open[holder] = None
+        self.most_open = max(self.most_open, len(self.open))
+
+    def free_descriptor(self, holder: Any) -> None:
+        """One descriptor less."""
+        self.open.pop(holder, None)
--- /dev/null
+++ b/holdgw/simulation/shrink.py
@@ -0,0 +1,107 @@
+"""Looks for the least scenario that still fails alike: fewer troubles, a shorter day, a smaller fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from math import ceil
+from typing import Any
+
+import msgspec
+import tomli_w
+
+from holdgw.rehearsal.scenario import Scenario, ScenarioError, read_scenario
+from holdgw.simulation.play import Outcome
+
+MARGIN_S = 0.5  # of the day, kept beyond what broke
+
+Try = Callable[[Scenario], Outcome]
+
+
+def _fewer_troubles(scenario: Scenario) -> Iterator[Scenario]:
+    """Halves first, then one by one (delta debugging: Zeller and Hildebrandt, 2002)."""
+    count = len(scenario.trouble)
+    size = count
+    while size >= 1:
+        for start in range(0, count, size):
+            kept = scenario.trouble[:start] + scenario.trouble[start + size :]
+            if len(kept) < count:
+                yield msgspec.structs.replace(scenario, trouble=kept)
+        size = size // 2
+
+
+def _shorter(scenario: Scenario, outcome: Outcome) -> Iterator[Scenario]:
+    """End the day behind what broke; else somewhat earlier."""
+    ends = [max(one.at - outcome.begun, 0.0) + MARGIN_S for one in outcome.broken[:1]]
+    ends += [scenario.length_s / 2, scenario.length_s * 0.8]
+    for end in ends:
+        length = ceil(end * 10) / 10
+        if 0 < length < scenario.length_s:
+            yield scenario.cut(length)
+
+
+def _lighter(scenario: Scenario) -> Iterator[Scenario]:
+    """Fewer requests and a smaller fleet."""
+    for share in (0.25, 0.5, 0.75):
+        load = msgspec.structs.replace(scenario.load, rate=round(scenario.load.rate * share, 1))
+        if load.rate >= 1:
+            yield msgspec.structs.replace(scenario, load=load)
+    fleet = scenario.fleet
+    for nodes, routers in ((fleet.nodes // 2, fleet.routers), (fleet.nodes, fleet.routers - 1)):
+        if nodes >= 1 and routers >= 1:
+            small = msgspec.structs.replace(fleet, nodes=nodes, routers=routers)
+            yield msgspec.structs.replace(scenario, fleet=small)
+    if scenario.emulator.prelude_s:
+        emulator = msgspec.structs.replace(scenario.emulator, prelude_s=0.0)
+        yield msgspec.structs.replace(scenario, emulator=emulator)
+
+
+def _valid(scenario: Scenario) -> bool:
+    """Whether a file could say so: a smaller fleet may lack nodes that a trouble names."""
+    try:
+        read_scenario(as_toml(scenario), "shrunk")
+    except ScenarioError:
+        return False
+    return True
+
+
+def shrink(
+    scenario: Scenario,
+    outcome: Outcome,
+    again: Try,
+    told: Callable[[Scenario, int], None] = lambda _scenario, _runs: None,
+    most_runs: int = 200,
+) -> tuple[Scenario, Outcome]:
+    """The least scenario found for which `again` breaks the same rule first; `told` hears of each step."""
+    runs, wanted = 0, outcome.first
+    progress = True
+    while progress and runs < most_runs:
+        progress = False
+        for candidates in (_fewer_troubles(scenario), _shorter(scenario, outcome), _lighter(scenario)):
+            for smaller in candidates:
+                if runs >= most_runs:
+                    break
+                if not _valid(smaller):
+                    continue
+                runs += 1
+                found = again(smaller)
+                if found.first == wanted:
+                    scenario, outcome, progress = smaller, found, True
+                    told(scenario, runs)
+                    break
+    return scenario, outcome
+
+
+def _differences(value: Any, usual: Any) -> Any:
+    if isinstance(value, dict) and isinstance(usual, dict):
+        found = {name: _differences(one, usual.get(name)) for name, one in value.items()}
+        return {name: one for name, one in found.items() if one is not None} or None
+    return None if value == usual else value
+
+
+def as_toml(scenario: Scenario) -> str:
+    """The scenario as a file that plays the same; what is as usual is left out."""
+    told = msgspec.to_builtins(scenario)
+    usual = msgspec.to_builtins(Scenario(name=scenario.name, length_s=scenario.length_s, load=scenario.load))
+    always = {"name": told["name"], "length_s": told["length_s"], "seed": told["seed"], "load": told["load"]}
+    rest = {name: _differences(value, usual[name]) for name, value in told.items() if name not in always}
+    return tomli_w.dumps({**always, **{name: value for name, value in rest.items() if value is not None}})
--- /dev/null
+++ b/holdgw/simulation/storms.py
@@ -0,0 +1,118 @@
+"""Storms: troubles of every kind, drawn by the seed and written out so that each can be dropped; pure."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from holdgw.rehearsal.scenario import Scenario, Storm, node_names
+from holdgw.rehearsal.troubles import KINDS, PHASES, Trouble, kind_of
+
+FIRST, LAST = 0.05, 0.8  # of the day, between which a storm's troubles begin
+MOST_NODES_SHARE = 0.25
+
+Draw = Callable[[random.Random, Scenario], dict[str, Any]]
+
+
+def _some(rng: random.Random, scenario: Scenario) -> tuple[str, ...]:
+    names = node_names(scenario.fleet)
+    most = max(1, int(len(names) * MOST_NODES_SHARE))
+    return tuple(sorted(rng.sample(names, rng.randint(1, most))))
+
+
+def _routers(rng: random.Random, scenario: Scenario) -> int:
+    return rng.randint(1, max(1, scenario.fleet.routers // 2))
+
+
+def _seconds(rng: random.Random, low: float, high: float) -> float:
+    return round(rng.uniform(low, high), 3)
+
+
+def _spoilt(rng: random.Random, scenario: Scenario) -> dict[str, Any]:
+    return {
+        "seconds": _seconds(rng, 0.5, 6),
+        "share": round(rng.uniform(0.01, 0.2), 3),
+        "nodes": rng.choice(("all", _some(rng, scenario))),
+        "store": rng.random() < 0.5,
+    }
+
+
+DRAWS: dict[str, Draw] = {
+    "pause": lambda r, s: {"seconds": _seconds(r, 0.3, 4), "nodes": _some(r, s)},
+    "kill": lambda r, s: {"nodes": _some(r, s)},
+    "restart": lambda r, s: {"nodes": _some(r, s), "down_s": _seconds(r, 0.1, 3)},
+    "replace": lambda r, s: {
+        "nodes": _some(r, s), "down_s": _seconds(r, 0.1, 2), "same_address": r.random() < 0.5
+    },
+    "drain": lambda r, s: {"nodes": _some(r, s), "seconds": _seconds(r, 1, 6)},
+    "cold_start": lambda r, s: {"nodes": r.randint(1, 3)},
+    "flush": lambda r, s: {"share": round(r.uniform(0.2, 1), 2)},
+    "scan": lambda r, s: {"seconds": _seconds(r, 1, 6), "share": round(r.uniform(0.05, 0.6), 2)},
+    "hot_caller": lambda r, s: {"seconds": _seconds(r, 1, 6), "share": round(r.uniform(0.1, 0.6), 2)},
+    "burst": lambda r, s: {
+        "seconds": _seconds(r, 0.5, 4),
+        "factor": round(r.uniform(1.5, 4), 2),
+        "tenant": r.choice(("", *(one.name for one in s.tenants))),
+    },
+    "origin_slow": lambda r, s: {"seconds": _seconds(r, 0.5, 6), "factor": round(r.uniform(1.5, 6), 2)},
+    "origin_down": lambda r, s: {"seconds": _seconds(r, 0.2, 3)},
+    "reset": _spoilt,
+    "garble": _spoilt,
+    "silence": _spoilt,
+    "discovery_late": lambda r, s: {"seconds": _seconds(r, 1, 6), "extra_s": _seconds(r, 0.5, 3)},
+    "discovery_stale": lambda r, s: {"seconds": _seconds(r, 0.5, 4), "routers": _routers(r, s)},
+    "discovery_down": lambda r, s: {"seconds": _seconds(r, 0.5, 4)},
+    "router_restart": lambda r, s: {
+        "routers": _routers(r, s), "signal": r.choice(("TERM", "KILL")), "gap_s": _seconds(r, 0, 1)
+    },
+    "router_reload": lambda r, s: {"routers": _routers(r, s)},
+    "partition": lambda r, s: {
+        "seconds": _seconds(r, 0.1, 3),
+        "nodes": _some(r, s),
+        "routers": r.choice((0, _routers(r, s))),
+        "way": r.choice(("both", "to", "from")),
+        "store": r.random() < 0.4,
+    },
+    "vanish": lambda r, s: {"seconds": _seconds(r, 3, 6), "nodes": _some(r, s)},
+    "cut": lambda r, s: {
+        "seconds": _seconds(r, 0.5, 5),
+        "share": round(r.uniform(0.005, 0.15), 3),
+        "phases": tuple(r.sample(PHASES, r.randint(1, len(PHASES)))),
+        "lines": r.choice(("nodes", "store", "servers", "clients", "all")),
+    },
+    "weather": lambda r, s: {
+        "seconds": _seconds(r, 0.5, 5),
+        "loss": r.choice((0.0, round(r.uniform(0.001, 0.05), 3))),
+        "chop": r.choice((0.0, 0.3, 1.0)),
+        "slow_ms": r.choice((0.0, round(r.uniform(1, 40), 1))),
+        "window_kb": r.choice((0, 1, 8)),
+    },
+    "router_stop": lambda r, s: {"seconds": _seconds(r, 0.01, 0.3), "routers": _routers(r, s)},
+    "clock_jump": lambda r, s: {"by_s": _seconds(r, -3600, 3600), "routers": _routers(r, s)},
+}  # fmt: skip
+
+
+def written_out(scenario: Scenario, seed: int) -> Scenario:
+    """The scenario with its seed, with the storm's troubles drawn and each told which draw is its own."""
+    rng = random.Random(f"{seed}/storm")
+    kinds = scenario.storm.kinds or tuple(kind for kind in KINDS if kind in DRAWS)
+    fixed = [
+        msgspec.structs.replace(trouble, draw=i if trouble.draw < 0 else trouble.draw)
+        for i, trouble in enumerate(scenario.trouble)
+    ]
+    drawn = []
+    for i in range(rng.randint(*scenario.storm.count)):
+        kind = rng.choice(kinds)
+        at = round(scenario.length_s * rng.uniform(FIRST, LAST), 3)
+        table = {"kind": kind, "at": at, "draw": 1000 + i, **DRAWS[kind](rng, scenario)}
+        drawn.append(msgspec.convert(table, Trouble, strict=False))
+    every = sorted([*fixed, *drawn], key=lambda trouble: trouble.at)
+    return msgspec.structs.replace(scenario, seed=seed, storm=Storm(), trouble=tuple(every))
+
+
+def told(scenario: Scenario) -> str:
+    """The troubles in a few words."""
+    return ", ".join(f"{kind_of(trouble)} at {trouble.at:g}" for trouble in scenario.trouble)
--- a/holdgw/standins/discovery.py
+++ b/holdgw/standins/discovery.py
@@ -40,11 +40,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.server.connections.add(self)
+        self.server.connections[self] = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_waiting()
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -86,7 +86,7 @@
         self._stop_waiting()
         if self.transport is not None:
             self.transport.write(response(200, self.server.body(self.router, reset, entries)))
-            self.server.told(self.router, reset, entries)
+            self.server.told(self, reset, entries)
 
     def fail(self) -> None:
         """The call fails."""
@@ -118,11 +118,11 @@
         call_s: float = 0.0,
     ) -> None:
         self.model, self.loop = model, asyncio.get_running_loop()
-        self.connections: set[_Connection] = set()
+        self.connections: dict[_Connection, None] = {}
         self._routers, self._where, self._witness, self._clock = list(routers), where, witness, clock
         self._ip, self._call_s = ip, call_s
         self._listeners: dict[str, Listeners] = {}
-        self._known: dict[str, set[str]] = {}  # what each router was told to be there
+        self._known: dict[str, dict[str, None]] = {}  # what each router was told to be there
         self._alarm = Alarm(self.loop, clock, self._rings)
         self._down_until = float("-inf")
         self._free_at = float("-inf")  # when the one service has worked off the calls so far
@@ -245,17 +245,21 @@
             ],
         }
 
-    def told(self, router: str, whole: bool, entries: list[Entry]) -> None:
+    def told(self, connection: _Connection, whole: bool, entries: list[Entry]) -> None:
         """Remember what was written to a router."""
-        now, view = self._clock(), self.model.views[router]
-        known = self._known.setdefault(router, set())
+        router, now = connection.router, self._clock()
+        view = self.model.views[router]
+        known = self._known.setdefault(router, {})
         for entry in entries:
             since = view.since.get(entry.id, now)
             self._witness.saw(Told(router, entry.id, entry.state.value, now, since, whole))
         if whole:
             # A whole list also tells, by leaving them out, which servers are gone.
-            for server in known - {entry.id for entry in entries}:
+            for server in [name for name in known if name not in {entry.id for entry in entries}]:
                 self._witness.saw(Told(router, server, State.REMOVED.value, now, now, whole))
             known.clear()
         for entry in entries:
-            (known.discard if entry.state is State.REMOVED else known.add)(entry.id)
+            if entry.state is State.REMOVED:
+                known.pop(entry.id, None)
+            else:
+                known[entry.id] = None
--- a/holdgw/standins/node.py
+++ b/holdgw/standins/node.py
@@ -174,7 +174,7 @@
         self._witness, self._report = witness, report
         self._loop = asyncio.get_running_loop()
         self._listeners = Listeners(host)
-        self._connections: set[NodeConnection] = set()
+        self._connections: dict[NodeConnection, None] = {}
         self._alarm = Alarm(self._loop, clock, self._rings)
         self._serial = 0
         self._flushes = 0
@@ -225,7 +225,7 @@
 
     def close(self) -> None:
         """The day is over: what never ended is told."""
-        for connection in self._connections:
+        for connection in list(self._connections):
             self._leave_unanswered(connection, "open")
         self.kill()
 
@@ -259,7 +259,7 @@
 
     def opened(self, connection: NodeConnection) -> None:
         """A connection came up: it costs work, and one too many is turned away."""
-        self._connections.add(connection)
+        self._connections[connection] = None
         if not self.model.connections_now(len(self._connections)):
             connection.abort()
             return
@@ -269,7 +269,7 @@
 
     def closed(self, connection: NodeConnection) -> None:
         """A connection is gone."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
         self.model.connections_now(len(self._connections))
 
     def _check_idle(self) -> None:
--- a/holdgw/standins/store.py
+++ b/holdgw/standins/store.py
@@ -86,7 +86,7 @@
         self._windows = windows  # class -> seconds for which repeats of its writes are dropped
         self._witness = witness
         self._listeners = Listeners(host)
-        self._connections: set[StoreConnection] = set()
+        self._connections: dict[StoreConnection, None] = {}
         self._alarm = Alarm(self.loop, clock, self._rings)
         self._serial = 0
 
@@ -128,13 +128,13 @@
 
     def opened(self, connection: StoreConnection) -> None:
         """A connection came up; one too many is reset."""
-        self._connections.add(connection)
+        self._connections[connection] = None
         if len(self._connections) > self.spec.connections:
             connection.abort()
 
     def closed(self, connection: StoreConnection) -> None:
         """A connection is gone."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
 
     def odd(self, text: str) -> None:
         """Something came that no router should send."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -16,7 +16,8 @@
     "router": {"policy", "wire"},
     "standins": {"wire"},
     "rehearsal": {"standins", "wire"},
-    "cli": {"router", "rehearsal"},
+    "simulation": {"rehearsal", "router", "standins", "wire"},
+    "cli": {"router", "rehearsal", "simulation"},
     "__main__": {"cli"},
     "__init__": set(),
 }
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -15,6 +15,7 @@
 from holdgw.rehearsal.counting import Fate, count, fates, value, worst_window
 from holdgw.rehearsal.day import Ask, draw, idempotency_key, load_at, request_id, store_spec
 from holdgw.rehearsal.scenario import Scenario, ScenarioError, load_scenario, read_scenario, shipped
+from holdgw.rehearsal.troubles import kind_of
 from holdgw.standins.records import Try
 
 BASE = 'name = "x"\nlength_s = 20.0\n[load]\nrate = 50.0\n'
@@ -92,7 +93,7 @@
         assert scenario.about
     incident = load_scenario("incident-130")
     assert (incident.fleet.nodes, incident.fleet.routers, incident.load.rate) == (130, 24, 1300.0)
-    kinds = [s.kind_of(trouble) for trouble in load_scenario("storm").trouble]
+    kinds = [kind_of(trouble) for trouble in load_scenario("storm").trouble]
     assert len(set(kinds)) >= 5
 
 
