--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,238 @@
+"""How soon the simulation finds planted faults: `python -m bench.mutants [--seeds 200] [--jobs 8] [NAMES]`.
+
+Each mutant is the router with one fault written into a copy of its source, loaded in a process of its own.
+Seeds of mixed-storm are played one after the other until one fails. A mutant whose text no longer fits is an
+error.
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib.util
+import subprocess
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from time import perf_counter
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+SCENARIO = "mixed-storm"
+SEEDS = 200
+
+
+class Mutant(NamedTuple):
+    """One fault: in a module, this text becomes that."""
+
+    about: str
+    module: str
+    old: str
+    new: str
+
+
+MUTANTS: dict[str, Mutant] = {
+    "doubled-answer": Mutant(
+        "an answer is given twice after a late reset",
+        "holdgw.router.host",
+        "        now = self._host.now()\n        event = AttemptEnded(",
+        "        if outcome is Outcome.RESET and request.closed and reply._connection.transport:\n"
+        '            reply._connection.transport.write(b"-ERR failed\\r\\n")\n'
+        "        now = self._host.now()\n        event = AttemptEnded(",
+    ),
+    "late-repeat": Mutant(
+        "a keyed write is sent again after its window",
+        "holdgw.policy.logic",
+        "if self.cls.effect is Effect.UNSAFE or self.write_within(now) <= 0:",
+        "if self.cls.effect is Effect.UNSAFE:",
+    ),
+    "slow-repeat": Mutant(
+        "a repeat waits for its connection beyond its window",
+        "holdgw.router.host",
+        "        if action.within:\n            attempt.write_by(now + action.within)\n",
+        "",
+    ),
+    "unsafe-repeat": Mutant(
+        "an unsafe write that may have run is sent again",
+        "holdgw.policy.logic",
+        "if self.cls.effect is Effect.UNSAFE or self.write_within(now) <= 0:",
+        "if self.cls.effect is Effect.KEYED and self.write_within(now) <= 0:",
+    ),
+    "refused-after-run": Mutant(
+        "an unsafe write that may have run is refused",
+        "holdgw.policy.logic",
+        "        return self.ran is None or self.cls.effect is Effect.SAFE or keyed_anywhere",
+        "        return True",
+    ),
+    "drain-waits": Mutant(
+        "a drain is heard, but exchanges that wait for a connection are kept",
+        "holdgw.router.upstream",
+        "        waiting, server.waiting = server.waiting, deque()\n"
+        "        for exchange in waiting:\n"
+        "            exchange.end(Outcome.CONNECT_FAILED)\n",
+        "",
+    ),
+    "drain-unheard": Mutant(
+        "a server that drains is taken for one that is ready",
+        "holdgw.router.discovery",
+        '"draining": ServerState.DRAINING',
+        '"draining": ServerState.READY',
+    ),
+    "reset-list-as-delta": Mutant(
+        "a whole list is taken for a change: servers that left it stay",
+        "holdgw.router.discovery",
+        'kind = ListKind.FULL if body["reset"] else ListKind.DELTA',
+        "kind = ListKind.DELTA",
+    ),
+    "cold-full-weight": Mutant(
+        "a cold server has its full weight at once",
+        "holdgw.policy.logic",
+        "        return 1.0 if warm else cold + (1 - cold) * max(age, 0) / cold_time",
+        "        return 1.0",
+    ),
+    "flight-never-lands": Mutant(
+        "a fetch that ends badly wakes nobody who waits for it",
+        "holdgw.policy.logic",
+        "        if request.leads:\n            self._land(request, stored)\n",
+        "        if request.leads and stored:\n            self._land(request, stored)\n",
+    ),
+    "half-closed-reused": Mutant(
+        "the pool keeps a connection whose other side has closed",
+        "holdgw.router.upstream",
+        "    def pause_writing(self) -> None:\n",
+        "    def eof_received(self) -> bool:\n        return True\n\n    def pause_writing(self) -> None:\n",
+    ),
+    "given-up-kept": Mutant(
+        "a connection whose exchange was given up is kept open for ever",
+        "holdgw.router.upstream",
+        "            connection.exchange = None\n            connection.close()\n",
+        "            connection.exchange = None\n            connection.retired = True\n",
+    ),
+    "late-answer-believed": Mutant(
+        "a connection whose exchange was given up goes back to the pool",
+        "holdgw.router.upstream",
+        "            connection.exchange = None\n            connection.close()\n",
+        "            connection.exchange = None\n            connection.server.pool.released(connection)\n",
+    ),
+    "descriptor-miscounted": Mutant(
+        "a descriptor that is free again is not counted so",
+        "holdgw.router.upstream",
+        "        self._held -= 1\n        if connection in server.idle:",
+        "        if connection in server.idle:",
+    ),
+    "watch-kept": Mutant(
+        "the watch of the address before a reload is never closed",
+        "holdgw.router.discovery",
+        "            self._old.close()\n            self._old = None",
+        "            self._old = None",
+    ),
+    "request-kept": Mutant(
+        "a request that its client left is never forgotten",
+        "holdgw.router.host",
+        "        request.closed = True\n        self.settle(request)\n"
+        "        self.tell(ClientGone(request.id))",
+        "        request.closed = True\n        self.tell(ClientGone(request.id))",
+    ),
+    "deadline-unwatched": Mutant(
+        "an attempt has no end of its own",
+        "holdgw.router.host",
+        "        attempt.wait_until(due)\n",
+        "",
+    ),
+    "drain-cuts": Mutant(
+        "on SIGTERM connections are closed with requests open",
+        "holdgw.router.program",
+        "        while clients.connected and loop.time() < begun + longest + KILL_SLACK_S:",
+        "        while False:",
+    ),
+    "recent-unbounded": Mutant(
+        "ids of requests that are over are kept without a bound",
+        "holdgw.router.host",
+        "            if len(self._recent) > RECENT:\n",
+        "            if len(self._recent) > RECENT**3:\n",
+    ),
+    "timer-left": Mutant(
+        "the sweep goes on when the router has ended",
+        "holdgw.router.host",
+        "        self._sweep_timer.cancel()\n        for timer",
+        "        for timer",
+    ),
+    "closing-for-ever": Mutant(
+        "a connection being closed to a client that takes nothing is waited for without end",
+        "holdgw.router.clients",
+        "        if self.blocked or self.transport.is_closing():\n",
+        "        if self.blocked:\n",
+    ),
+    "fin-before-answers": Mutant(
+        "a client's connection is closed though commands are unanswered",
+        "holdgw.router.clients",
+        "        if not self.replies and (even_midway or not self._reader.midway):",
+        "        if even_midway or not self._reader.midway:",
+    ),
+}
+
+
+def plant(name: str) -> None:
+    """Load the mutant's module in place of the real one; nothing may have imported that yet."""
+    mutant = MUTANTS[name]
+    if mutant.module in sys.modules:
+        raise RuntimeError(f"{mutant.module} is loaded already")
+    spec = importlib.util.find_spec(mutant.module)
+    assert spec is not None
+    assert spec.origin is not None
+    text = Path(spec.origin).read_text()
+    if text.count(mutant.old) != 1:
+        raise RuntimeError(f"{name}: its text stands {text.count(mutant.old)} times in {mutant.module}")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[mutant.module] = module
+    exec(compile(text.replace(mutant.old, mutant.new), spec.origin, "exec"), module.__dict__)
+
+
+def seek(seeds: Sequence[int]) -> tuple[int, str]:
+    """The first of these seeds that fails, and how; (0, "") if none does."""
+    from holdgw.rehearsal.scenario import load_scenario
+    from holdgw.simulation.search import search
+
+    for outcome in search(load_scenario(SCENARIO), seeds, 1):
+        if outcome.failed:
+            text = outcome.fault or outcome.broken[0].text
+            return outcome.seed, f"{outcome.first}: {text}"
+    return 0, ""
+
+
+def _in_a_process(name: str, seeds: int) -> tuple[str, str, float]:
+    begun = perf_counter()
+    command = [sys.executable, "-m", "bench.mutants", "--one", name, "--seeds", str(seeds)]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
+    line = done.stdout.strip() or f"error\t{done.stderr.strip().splitlines()[-1:]}"
+    return name, line, perf_counter() - begun
+
+
+def main() -> int:
+    """Plant all, or one; returns 1 if any was not found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*")
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--jobs", type=int, default=8)
+    parser.add_argument("--one")
+    told = parser.parse_args()
+    if told.one:
+        plant(told.one)
+        seed, text = seek(range(1, told.seeds + 1))
+        print(f"{seed}\t{text}")
+        return 0
+    missed = 0
+    with ThreadPoolExecutor(told.jobs) as pool:
+        for name, line, took in pool.map(
+            lambda one: _in_a_process(one, told.seeds), told.names or list(MUTANTS)
+        ):
+            first, _, text = line.partition("\t")
+            found = first.isdigit() and first != "0"
+            missed += not found
+            shown = first if found else "NOT FOUND"
+            print(f"| {name} | {MUTANTS[name].about} | {shown} | {text} | {took:.0f} s |", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/holdgw/cli/__init__.py
@@ -0,0 +1,47 @@
+"""The command line, a file a command. What can't be used ends in one plain line that names file and field,
+and exit code 2.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import typer
+
+from holdgw.cli.common import INTERRUPTED, USAGE, UsageError
+from holdgw.cli.rehearse import rehearse, scenarios
+from holdgw.cli.run import run
+from holdgw.cli.simulate import simulate
+from holdgw.rehearsal.deployment import DeployError
+from holdgw.rehearsal.scenario import ScenarioError
+
+app = typer.Typer(
+    name="holdgw",
+    help="A cache router for large fleets and for failure.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+for command in (run, rehearse, simulate, scenarios):
+    app.command()(command)
+
+
+def main() -> int:
+    """Run the command line; returns the exit code."""
+    try:
+        code = app(standalone_mode=False)
+    except typer.Exit as end:
+        return end.exit_code
+    except typer.Abort:
+        return INTERRUPTED
+    except (ScenarioError, DeployError, UsageError) as error:
+        print(f"holdgw: {error}", file=sys.stderr)
+        return USAGE
+    except Exception as error:
+        # click's usage errors, whichever class this typer raises them by; anything else is a fault of ours.
+        message = getattr(error, "format_message", None)
+        if message is None:
+            raise
+        print(f"holdgw: {message()}", file=sys.stderr)
+        return USAGE
+    return code if isinstance(code, int) else 0
--- a/holdgw/cli.py
+++ b/holdgw/cli/rehearse.py
@@ -1,4 +1,4 @@
-"""The command line. What cannot be used ends in one plain line that names file and field, and exit code 2."""
+"""`holdgw rehearse` and `holdgw scenarios`: a day on real sockets, and its report on the terminal."""
 
 from __future__ import annotations
 
@@ -14,46 +14,23 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
 
+from holdgw.cli.common import FAILED, INTERRUPTED, UsageError, folder_is_there
 from holdgw.rehearsal.day import Day, draw
-from holdgw.rehearsal.deployment import DeployError, run_command
+from holdgw.rehearsal.deployment import run_command
 from holdgw.rehearsal.page import render
 from holdgw.rehearsal.report import Report, make_report
-from holdgw.rehearsal.scenario import ScenarioError, load_scenario, shipped
+from holdgw.rehearsal.scenario import load_scenario, shipped
 from holdgw.rehearsal.stage import Played, Stage, StageError, play
-from holdgw.router.__main__ import main as run_router
 
-DEPLOY = Path("deploy/balancer.toml")
-INTERRUPTED = 130
-FAILED = 4
 FILE_WIDTH = 140  # columns of a report that goes to no terminal
 
-app = typer.Typer(
-    name="holdgw",
-    help="A cache router for large fleets and for failure.",
-    no_args_is_help=True,
-    add_completion=False,
-    pretty_exceptions_enable=False,
-)
 
-
-class UsageError(Exception):
-    """Something given can't be used; one plain line."""
-
-
-@app.command()
-def run() -> None:
-    """Run one router, configured by LB_CONFIG and the variables beside it (deploy/balancer.toml's `run`)."""
-    raise typer.Exit(run_router())
-
-
-@app.command()
 def scenarios() -> None:
     """List the scenarios that come with holdgw."""
     for name in shipped():
         print(f"{name:18} {load_scenario(name).about}")
 
 
-@app.command()
 def rehearse(
     file: Annotated[str, typer.Argument(help="A scenario file, or the name of a shipped one.")],
     seed: Annotated[int | None, typer.Option(help="Another day of the same scenario.")] = None,
@@ -78,8 +55,7 @@
     if why := scenario.not_on_sockets():
         raise UsageError(f"{file}: {why}")
     for path in (json, html):
-        if path is not None and not path.absolute().parent.is_dir():
-            raise UsageError(f"{path}: the folder is not there")
+        folder_is_there(path)
     command = run_command(deploy)
     root = deploy.absolute().parent.parent
     day = draw(scenario, scenario.seed if seed is None else seed)
@@ -219,24 +195,3 @@
     for name, row in shown:
         table.add_row(name, *(str(row.get(column, 0)) for column in columns))
     return table
-
-
-def main() -> int:
-    """Run the command line; returns the exit code."""
-    try:
-        code = app(standalone_mode=False)
-    except typer.Exit as end:
-        return end.exit_code
-    except typer.Abort:
-        return INTERRUPTED
-    except (ScenarioError, DeployError, UsageError) as error:
-        print(f"holdgw: {error}", file=sys.stderr)
-        return 2
-    except Exception as error:
-        # click's usage errors, whichever class this typer raises them by; anything else is a fault of ours.
-        message = getattr(error, "format_message", None)
-        if message is None:
-            raise
-        print(f"holdgw: {message()}", file=sys.stderr)
-        return 2
-    return code if isinstance(code, int) else 0
--- a/holdgw/simulation/network.py
+++ b/holdgw/simulation/network.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 
+from holdgw.simulation.disk import Disk
 from holdgw.simulation.process import Process
 from holdgw.simulation.transports import DatagramEnd, Listener, TcpEnd
 from holdgw.simulation.world import NS_PER_S, World
@@ -41,6 +42,7 @@
     """Its lines know nothing but delay."""
     steady: bool = False
     """Its lines lose nothing, and are no slower than usual; they may be cut."""
+    disk: Disk = field(default_factory=Disk)
 
     @property
     def fair(self) -> bool:
@@ -191,7 +193,10 @@
         self.world.trace.add(self.world.now, host.name, "vanish")
 
     def boot(self, host: Host) -> None:
-        """The machine is back; it knows nothing of its connections, and says so to who sends on them."""
+        """The machine is back, with what its disk kept; it knows nothing of its connections, and says so to
+        whoever sends on them.
+        """
+        host.disk.crash(self._random)
         host.silent = False
         host.epoch += 1
         for connection in list(self.connections):
--- a/holdgw/simulation/search.py
+++ b/holdgw/simulation/search.py
@@ -4,7 +4,7 @@
 
 import multiprocessing
 import signal
-from collections.abc import Iterable, Iterator
+from collections.abc import Generator, Iterable
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
 from itertools import islice
 from types import FrameType
@@ -51,7 +51,7 @@
     return outcome
 
 
-def search(scenario: Scenario, seeds: Iterable[int], jobs: int) -> Iterator[Outcome]:
+def search(scenario: Scenario, seeds: Iterable[int], jobs: int) -> Generator[Outcome, None, None]:
     """Play seeds on so many cores; outcomes come as they are ready. Closing the generator ends it all."""
     if jobs == 1:
         for seed in seeds:
--- a/holdgw/simulation/trace.py
+++ b/holdgw/simulation/trace.py
@@ -49,7 +49,7 @@
         self._file, self._begun, self._shown = file, begun, shown
 
     def __call__(self, event: dict[str, Any]) -> None:
-        """Write one event; `s` is seconds from the day's start."""
+        """Write one event; `s` is seconds from `begun`, nanoseconds of the world."""
         data = event["data"]
         line = {
             "s": round((event["at"] - self._begun) / 1e9, 6),
--- a/holdgw/simulation/transports.py
+++ b/holdgw/simulation/transports.py
@@ -254,7 +254,9 @@
         elif self._fin_came and not self._eof_told:
             self._eof_told = True
             assert self._protocol is not None
-            if not self._protocol.eof_received():
+            if self._protocol.eof_received():
+                self._reading_paused = True  # as uvloop does: nothing more can come
+            else:
                 self.close()
 
     def _give(self, data: bytes) -> bool:
