--- a/holdgw/rehearsal/troubles.py
+++ b/holdgw/rehearsal/troubles.py
@@ -187,13 +187,13 @@
     notice_s: AtLeast0 = 2.0
 
 
-Phase = Literal["accept", "request", "answer", "behind", "vanish"]
-PHASES: tuple[Phase, ...] = ("accept", "request", "answer", "behind", "vanish")
+Phase = Literal["accept", "request", "answer", "behind", "end", "vanish"]
+PHASES: tuple[Phase, ...] = ("accept", "request", "answer", "behind", "end", "vanish")
 
 
 class Cut(_Simulated, frozen=True, kw_only=True, tag="cut"):
     """A share of what is sent breaks its connection: before it is accepted, amid a request or an answer,
-    right behind either, or (`vanish`) so that nobody is told.
+    right behind either, by an end in good order behind an answer, or (`vanish`) so that nobody is told.
     """
 
     seconds: Positive
--- a/holdgw/simulation/play.py
+++ b/holdgw/simulation/play.py
@@ -35,6 +35,7 @@
 from holdgw.simulation.network import Connection, Cut, Host, Network, Weather
 from holdgw.simulation.process import Process
 from holdgw.simulation.trace import Trace
+from holdgw.simulation.transports import TcpEnd
 from holdgw.simulation.world import NS_PER_S, SpinError, World
 from holdgw.standins import shell
 from holdgw.standins.chance import between, unit
@@ -359,6 +360,7 @@
         self.network = Network(self.world, self._line)
         self.network.on_cut = self._severed
         self.network.on_held = self._held_back
+        self.network.on_wrote_behind_end = self._wrote_behind_end
         self.history = History()
         self.watch = Watch(self.world, self)
         self.ips: dict[str, str] = {}
@@ -428,6 +430,10 @@
         if isinstance(protocol, ClientConnection) and protocol.attempt is not None:
             self.history.severed.add(protocol.attempt.id)
 
+    def _wrote_behind_end(self, end: TcpEnd) -> None:
+        if end.host.name in self.routers:
+            self.watch.broke("half_closed", f"{end.host.name} wrote on a connection that its peer has ended")
+
     def _held_back(self, a: Host, b: Host, sent: int, comes: int) -> None:
         for name in self._names.get(b, (b.name,)):
             self.history.held[name, comes / NS_PER_S] = sent / NS_PER_S
--- a/holdgw/simulation/shrink.py
+++ b/holdgw/simulation/shrink.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable, Iterator
 from math import ceil
 from typing import Any
@@ -49,7 +50,8 @@
     for nodes, routers in ((fleet.nodes // 2, fleet.routers), (fleet.nodes, fleet.routers - 1)):
         if nodes >= 1 and routers >= 1:
             small = msgspec.structs.replace(fleet, nodes=nodes, routers=routers)
-            yield msgspec.structs.replace(scenario, fleet=small)
+            with contextlib.suppress(ValueError):  # a trouble names more than such a fleet has
+                yield msgspec.structs.replace(scenario, fleet=small)
     if scenario.emulator.prelude_s:
         emulator = msgspec.structs.replace(scenario.emulator, prelude_s=0.0)
         yield msgspec.structs.replace(scenario, emulator=emulator)
--- a/holdgw/simulation/transports.py
+++ b/holdgw/simulation/transports.py
@@ -26,6 +26,7 @@
 MOST_HELD = 64
 SLOW_NS = 30_000_000  # a segment that takes longer than this was held back
 HELD_NS = 100_000_000  # a segment that comes later than this waits to be sent again
+PHASES_OF = {"request": ("request", "behind", "vanish"), "answer": ("answer", "behind", "end", "vanish")}
 PIECES_NS = 300_000  # between one piece of a segment and the next, at most
 READ_MOST = 256 << 10  # bytes that uvloop reads at a time
 
@@ -157,6 +158,8 @@
         if not data or self._conn_lost or self._lost_told:
             return
         self._written_at = self._world.now
+        if self._eof_told:
+            self.network.on_wrote_behind_end(self)
         if self._reset_came:
             # The kernel tells of it at the next write, also where nothing is being read.
             self._conn_lost = True
@@ -290,11 +293,14 @@
             network.on_held(self.host, peer.host, self._written_at, at)
         if network.cuts:
             kind = "request" if self is self.connection.client else "answer"
-            cut = network.cut_of(self.host, peer.host, (kind, "behind", "vanish"))
+            cut = network.cut_of(self.host, peer.host, PHASES_OF[kind])
             if cut == "vanish":
                 network.swallow(self.connection)
                 return
-            if cut:
+            if cut == "end":
+                network.on_cut(self.connection)
+                self._world.soon(self.process, self.close)
+            elif cut:
                 if cut == kind:
                     data = data[: network.part_of(len(data))]
                 if data:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,9 +14,8 @@
 import pytest
 import uvloop
 
-import holdgw.router.__main__ as program
 from holdgw.policy import Action, AttemptEnded, Event, Outcome, RequestClass, Router
-from holdgw.router import clients, upstream
+from holdgw.router import clients, program, upstream
 from holdgw.router.config import Config, load_config
 from tests.helpers import MS, S, settings
 from tests.peers import LIMIT_S, Agent, Cache, Node, Origin, command, entry, read
