--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -50,6 +50,9 @@
 # answers is over the first, and that of the next-ranked server under the second; it comes back in time.
 BAD_ANSWERS, LEAN_BAD, LEAN_WELL = 32, 0.25, 0.1
 LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 16, 0.04, 20 * NS_PER_S
+COLD_EXCESS = 0.25  # of the multiple at which it falls: what it can do is known by the others' load only
+COLD_BURST = 2.0  # attempts that a cold server may be sent at once
+SENT_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
 ON_THE_WAY = NS_PER_S // 20  # from when a request is written until it is there, at most
 REGAIN = 60 * NS_PER_S  # time in which a chance comes back by itself, where answers are too few to bring it
 DEAD = -0.02  # the chance after a refused connection: none for that part of REGAIN, then trials
@@ -73,6 +76,7 @@
         self._chance, self._since = 1.0, 0
         self.bad = 0.0  # smoothed share of answers that are late, full or missing
         self.share, self._shared_at = 1.0, 0  # the part of its slots that it keeps, and as of when
+        self.room, self.room_at = COLD_BURST, 0  # attempts that it may be sent while cold, and as of when
 
     def keeps(self, slot: int, now: int) -> bool:
         """Whether it keeps this slot; the same ones go first at every router, and come back last."""
@@ -325,6 +329,7 @@
         )  # most own attempts out at the origin before writes are held
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._strain = 0.0
+        self._sent, self._sent_at = 0.0, 0  # attempts at caches, fading, and as of when
         self._budget = BUDGET_MOST  # attempts that may be taken for lost by their time
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._origin_broke = 0  # its connections that broke since its last answer
@@ -398,6 +403,10 @@
         request.node, request.sent_at, request.out = node, self._now, True
         node.usual_load += (node.load - node.usual_load) / 32
         node.load += 1
+        if not request.fetching:
+            node.room -= 1
+            self._sent = self._sent * math.exp((self._sent_at - self._now) / SENT_MEMORY) + 1
+            self._sent_at = self._now
         request.patience = self._patience(request, node)
         bounded = request.ran is not None and request.cls.effect is Effect.KEYED
         within = request.write_within(self._now) if bounded else 0
@@ -426,9 +435,12 @@
             return
         candidates = self._candidates(request)
         keepers = [node for node in candidates if node.down or node.keeps(request.slot, self._now)]
+        room = True
         for i, node in enumerate(keepers or candidates[:1]):
             if node in request.failed or not request.may_send(node, self._now):
                 continue
+            if not (room := self._has_room(node, candidates)):
+                continue
             self._strain += ((not node.down and node.chance(self._now) < 1.0) - self._strain) / 64
             chance = node.chance(self._now)
             if node.bad > LEAN_BAD and not node.down:
@@ -444,7 +456,10 @@
             if not node.down:  # over its load: another server would miss, unless the slot moves for good
                 self._give_up(request)
                 return
-        self._missed(request)
+        if room:
+            self._missed(request)
+        else:  # only a cold server could take it, and that is why it can't
+            self._give_up(request)
 
     def _lean(self, node: Node, others: list[Node]) -> None:
         """Departure: a server over its load gives slots to the next-ranked, if that one is well.
@@ -465,6 +480,23 @@
         ranking = self._caches.rank(request.slot, self._now, max(owners, DEPTH))
         return sorted(ranking[:owners], key=self._draw) + ranking[owners:] if owners > 1 else ranking
 
+    def _has_room(self, node: Node, others: list[Node]) -> bool:
+        """Departure: whether a cold server may be sent one more, by its warmth and what others usually get.
+
+        Danger: a burst, or a hot key whose slot falls to a newcomer, pushes it over at once, long before it
+        answers late; the next-ranked, who held the slot until then, still has the key. It could do harm
+        where the load rises for good while servers are cold: they take their part of it some seconds later.
+        Where all are cold none is spared.
+        """
+        warmth = self._caches.warmth(node, self._now)
+        if warmth >= 1.0 or all(self._caches.warmth(other, self._now) < 1.0 for other in others):
+            return True
+        usual = self._sent * NS_PER_S / SENT_MEMORY / len(self._caches.nodes)
+        pace = usual * warmth * self._settings.fall_multiple * COLD_EXCESS
+        node.room = min(COLD_BURST, node.room + pace * (self._now - node.room_at) / NS_PER_S)
+        node.room_at = self._now
+        return node.room >= 1.0
+
     def _draw(self, node: Node) -> tuple[float, float]:
         """Fewest own attempts out for its weight; ties by a lottery in proportion to the weights."""
         weight = node.weight * self._caches.warmth(node, self._now)
--- a/holdgw/policy/settings.py
+++ b/holdgw/policy/settings.py
@@ -56,6 +56,7 @@
         "ask_within": rules.get("askWithinNs"),
         "cold_share": rules.get("coldShare"),
         "cold_time": rules.get("coldNs"),
+        "fall_multiple": rules.get("fallMultiple"),
         "max_attempts": ceilings.get("mostTries"),
         "retry_after": ceilings.get("retryAfter"),
         "max_retry_after": ceilings.get("maxRetryAfterNs"),
