The usual command is cut by one regular expression; a bench of the path without a kernel

The change: bench/hot_path.py feeds a client's bytes and a node's answers by hand. KV.GET is matched whole; whatever does not match is read piece by piece as before (tests/test_resp.py: the same words for any bytes and cuts).

--- /dev/null
+++ b/bench/hot_path.py
@@ -0,0 +1,167 @@
+"""What one request costs in the router's own code, without a kernel: `python -m bench.hot_path [--profile]`.
+
+A client's bytes go in by `data_received`, an answer of a mirror node comes back at once, and what would be
+written is thrown away: the figure is the own cost of the path. `bench.router_core` has the kernel, the loop
+and its neighbours in it. CPU time of the process, the median of the rounds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import cProfile
+import pstats
+import sys
+import time
+from statistics import median
+from typing import Any
+
+import uvloop
+
+from holdgw.policy import Effect, ListKind, RequestClass, Server, ServersChanged, Settings, Tenant
+from holdgw.router.clients import ClientServer
+from holdgw.router.discovery import Listing
+from holdgw.router.host import RouterHost
+from holdgw.router.upstream import Pool
+from holdgw.wire.resp import command
+
+NS_PER_MS = 1_000_000
+NS_PER_S = 1_000_000_000
+NODES = 36
+ORIGIN = "store"
+REQUESTS = 20_000
+KEYS = 400
+VALUE = b"v" * 3000
+SETTINGS = Settings(
+    classes=(
+        RequestClass("fetch", aim=300 * NS_PER_MS, deadline=1200 * NS_PER_MS),
+        RequestClass(
+            "publish", 500 * NS_PER_MS, 1200 * NS_PER_MS, Effect.KEYED, dedup_window=2500 * NS_PER_MS
+        ),
+    ),
+    tenants=(Tenant("public", 0.63, 200.0), Tenant("municipal", 0.37, 100.0)),
+    origin_kind="origin",
+    load_fields=("latency_ms", "queue"),
+)
+ANSWER = b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$23\r\nlatency_ms=12.5,queue=3\r\n" % (len(VALUE), VALUE)
+
+
+class FakeTransport:
+    """Takes what is written; a node's answers each request in the loop's next turn."""
+
+    def __init__(self, protocol: Any, answers: bool) -> None:
+        self.protocol, self.answers, self.written, self.last = protocol, answers, 0, b""
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Nothing to limit."""
+
+    def write(self, data: bytes) -> None:
+        """Take bytes."""
+        self.written, self.last = self.written + 1, data
+        if self.answers:
+            PENDING.append(self)
+
+    def writelines(self, data: list[bytes]) -> None:
+        """Take several."""
+        self.write(b"")
+
+    def is_closing(self) -> bool:
+        """Never."""
+        return False
+
+    def abort(self) -> None:
+        """Nothing to close."""
+
+    close = pause_reading = resume_reading = write_eof = abort
+
+    def get_write_buffer_size(self) -> int:
+        """Nothing waits."""
+        return 0
+
+
+PENDING: list[FakeTransport] = []
+
+
+def requests(count: int) -> list[bytes]:
+    """Commands as clients send them; every id is new."""
+    found = []
+    for i in range(count):
+        key = b"pkg-%06d" % (i * 7919 % KEYS)
+        info = b"c=fetch,t=%b,d=%d" % (b"public" if i % 3 else b"municipal", 700 + i % 200)
+        found.append(command(b"KV.GET", key, b"%08x-%d-0" % (i * 2654435761 % (1 << 32), i), info))
+    return found
+
+
+async def rounds(count: int, profile: cProfile.Profile | None) -> list[float]:
+    """Microseconds of CPU a request, of each round."""
+    loop = asyncio.get_running_loop()
+    pool = Pool(loop, 400, 0.12, 10.0)
+    host = RouterHost(loop, SETTINGS, 7, pool, 20_000)
+    clients = ClientServer(loop, host, 400)
+
+    async def connected(factory: Any, *_address: Any, **_more: Any) -> tuple[Any, Any]:
+        protocol = factory()
+        transport = FakeTransport(protocol, True)
+        protocol.connection_made(transport)
+        return transport, protocol
+
+    class Loop:
+        """The loop, but for connections."""
+
+        def __getattr__(self, name: str) -> Any:
+            return connected if name == "create_connection" else getattr(loop, name)
+
+    pool._loop = Loop()  # type: ignore[assignment]
+    nodes = [Server(f"node{i:03d}", "std") for i in range(NODES)]
+    servers = (*nodes, Server(ORIGIN, "origin"))
+    addresses = {server.id: ("127.0.0.1", 1) for server in servers}
+    host.servers_changed(Listing(1, ServersChanged(ListKind.FULL, servers), addresses))
+    from holdgw.router.clients import ClientConnection
+
+    client = ClientConnection(clients)
+    transport = FakeTransport(client, False)
+    client.connection_made(transport)  # type: ignore[arg-type]
+    took = []
+    for number in range(count + 1):
+        commands = requests(REQUESTS)
+        commands = [one.replace(b"-0\r\n", b"-%d\r\n" % (number % 10)) for one in commands]
+        before, written = time.process_time(), transport.written
+        if profile is not None and number:
+            profile.enable()
+        for one in commands:
+            client.data_received(one)
+            for _ in range(1000):
+                if PENDING:
+                    break
+                await asyncio.sleep(0)  # a dial
+            else:
+                raise RuntimeError(f"nothing was sent for {one!r}; the client was told {transport.last!r}")
+            while PENDING:
+                PENDING.pop().protocol.data_received(ANSWER)
+        if profile is not None:
+            profile.disable()
+        took.append((time.process_time() - before) / REQUESTS * 1e6)
+        assert transport.written - written == REQUESTS, (transport.written - written, REQUESTS)
+        await asyncio.sleep(0.01)
+    clients.close()
+    host.close()
+    pool.close()
+    return took[1:]
+
+
+def main() -> int:
+    """Measure, or profile."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=7)
+    parser.add_argument("--profile", action="store_true")
+    told = parser.parse_args()
+    profile = cProfile.Profile() if told.profile else None
+    took = uvloop.run(rounds(told.rounds, profile))
+    print(f"{median(took):.2f} us a request ({min(took):.2f} to {max(took):.2f}, {len(took)} rounds)")
+    if profile is not None:
+        pstats.Stats(profile).sort_stats("tottime").print_stats(30)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/holdgw/wire/resp.py
+++ b/holdgw/wire/resp.py
@@ -15,6 +15,11 @@
 MAX_WORD = 4 << 10  # all words of a command but its value together: far more than any has
 MAX_HEADER = 16  # a length line: its mark, digits and end
 
+# The usual command in one look: what it does not match is read piece by piece, with the same result.
+_GET = re.compile(
+    rb"\*4\r\n\$6\r\nKV\.GET\r\n\$(\d{1,4})\r\n([^\r\n]*)\r\n"
+    rb"\$(\d{1,3})\r\n([^\r\n]*)\r\n\$(\d{1,4})\r\n([^\r\n]*)\r\n"
+)
 _ID = re.compile(rb"[!-+\--~]{1,128}")  # printable, without space and comma
 _KEY_MOST = 1 << 10
 
@@ -84,6 +89,13 @@
 
     def _command(self) -> list[bytes] | None:
         data, begin = self._held, self._at
+        usual = _GET.match(data, begin)
+        if usual is not None:
+            key, request, info = usual[2], usual[4], usual[6]
+            told = int(usual[1]), int(usual[3]), int(usual[5])
+            if told == (len(key), len(request), len(info)) and max(told) <= MAX_WORD:
+                self._at, self._need = usual.end(), 1
+                return [b"KV.GET", key, request, info]
         count, position = self._length(data, begin, b"*")
         if position and not 1 <= count <= MAX_PARTS:
             raise FramingError("invalid multibulk length")
