--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -188,8 +188,8 @@
     "timer-left": Mutant(
         "the sweep goes on when the router has ended",
         "holdgw.router.host",
-        "        self._sweep_timer.cancel()\n        for timer",
-        "        for timer",
+        "        self._sweep_timer.cancel()\n        if self._sweep_soon",
+        "        if self._sweep_soon",
     ),
     "fin-before-answers": Mutant(
         "a client's connection is closed though commands are unanswered",
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -202,11 +202,14 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self._timers: dict[asyncio.TimerHandle, None] = {}  # the module's
+        self._sweep_soon: asyncio.Handle | None = None
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
     def close(self) -> None:
         """Stop the sweep, and what the module still waits for."""
         self._sweep_timer.cancel()
+        if self._sweep_soon is not None:
+            self._sweep_soon.cancel()
         for timer in self._timers:
             timer.cancel()
         self._timers.clear()
@@ -232,6 +235,11 @@
         # and the request in the tables. Should also catch waiters of a fetch that never ends. It could do
         # harm only if the module still meant to answer, and by now it is late for that.
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
+        # Danger: after a stall of the loop this runs before the timers that were due meanwhile, and would
+        # fail requests that the module is about to refuse. Those timers run before what is called soon.
+        self._sweep_soon = self.loop.call_soon(self._answer_overdue)
+
+    def _answer_overdue(self) -> None:
         due = self.now() - OVERDUE_NS
         for request in [r for r in self._requests.values() if r.deadline < due and not r.closed]:
             log.warning("a request was past its deadline with no answer")
