--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -161,6 +161,10 @@
         warm = not node.entry.started or age >= cold_time
         return 1.0 if warm else cold + (1 - cold) * max(age, 0) / cold_time
 
+    def any_cold(self, now: int) -> bool:
+        """Whether some server may not be warm yet."""
+        return now < self._cold_until
+
     def _catch_up(
         self, slot: int, held: list[tuple[float, Node]], changes: list[tuple[str, Node | None]]
     ) -> list[tuple[float, Node]]:
@@ -181,7 +185,7 @@
             scored = ((self._score(slot, node), node) for node in self.nodes.values())
             held = nlargest(depth + SPARE, scored, key=itemgetter(0))
             self._memo[slot] = len(self._changes), held
-        if now < self._cold_until:
+        if self.any_cold(now):
             # Rule 4, for load and misses alike: a newcomer is given slots only as it warms.
             ramped = [(score * self.warmth(node, now), node) for score, node in held]
             held = sorted(ramped, key=itemgetter(0), reverse=True)
@@ -439,7 +443,7 @@
         for i, node in enumerate(keepers or candidates[:1]):
             if node in request.failed or not request.may_send(node, self._now):
                 continue
-            if not (room := self._has_room(node, candidates)):
+            if self._caches.any_cold(self._now) and not (room := self._has_room(node, candidates)):
                 continue
             self._strain += ((not node.down and node.chance(self._now) < 1.0) - self._strain) / 64
             chance = node.chance(self._now)
--- a/holdgw/rehearsal/report.py
+++ b/holdgw/rehearsal/report.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 
 from holdgw.rehearsal import counting
-from holdgw.rehearsal.checker import Broken, ClassRule, LagVerdict, counts, judge, judge_lag
+from holdgw.rehearsal.checker import Broken, ClassRule, History, LagVerdict, counts, judge, judge_lag
 from holdgw.rehearsal.counting import Fate, Service, fates, quantile
 from holdgw.rehearsal.day import STORE, Day, zone_of_router, zone_of_server
 from holdgw.rehearsal.routers import Usage
@@ -146,15 +146,21 @@
     }
 
 
-def make_report(played: Played) -> Report:
-    """Judge and count a played day."""
-    day, scenario, history, begun = played.day, played.day.scenario, played.history, played.begun
+def judged(day: Day, history: History) -> list[Broken]:
+    """All breaks of the four rules on a day, in order of time."""
+    classes = day.scenario.classes
     rules = {
         ask.number: ClassRule(cls.effect, cls.window_ms / 1000)
         for ask in day.asks
-        for cls in (scenario.classes[ask.request_class],)
+        for cls in (classes[ask.request_class],)
     }
-    broken = judge(history, rules, scenario.router.drain_grace_ms / 1000)
+    return judge(history, rules, day.scenario.router.drain_grace_ms / 1000)
+
+
+def make_report(played: Played) -> Report:
+    """Judge and count a played day."""
+    day, scenario, history, begun = played.day, played.day.scenario, played.history, played.begun
+    broken = judged(day, history)
     lag = judge_lag(history.lags, scenario.emulator.lag_ms, scenario.emulator.worst_ms, begun)
     found = fates(day.asks, history.tries, begun)
     routers = router_names(scenario.fleet)
--- a/holdgw/rehearsal/routers.py
+++ b/holdgw/rehearsal/routers.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import socket
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -86,6 +86,16 @@
             writer.close()
 
 
+async def until_ready(address: Address, running: Callable[[], bool], clock: Clock) -> bool:
+    """Wait until a router answers there; False: it ended, or did not answer in time."""
+    due = clock() + READY_S
+    while running() and clock() < due:
+        if await pings(address):
+            return True
+        await asyncio.sleep(PING_EVERY_S)
+    return False
+
+
 class Usage(msgspec.Struct, array_like=True):
     """What a router's processes take: bytes, descriptors, and CPU seconds since its start."""
 
@@ -175,13 +185,10 @@
     async def ready(self) -> bool:
         """Wait until it answers PING with PONG; False: it ended, or did not in time."""
         assert self._process is not None
-        due = self._clock() + READY_S
-        while self._process.returncode is None and self._clock() < due:
-            if await pings(self.address):
-                self._change(-1, ready=self._clock())
-                return True
-            await asyncio.sleep(PING_EVERY_S)
-        return False
+        if not await until_ready(self.address, lambda: self.running, self._clock):
+            return False
+        self._change(-1, ready=self._clock())
+        return True
 
     @property
     def running(self) -> bool:
--- a/holdgw/rehearsal/stage.py
+++ b/holdgw/rehearsal/stage.py
@@ -24,13 +24,11 @@
 
 from holdgw.rehearsal.channel import (
     Batch,
-    Begin,
     Channel,
     Did,
     Do,
     Fault,
     Finish,
-    Front,
     Message,
     Places,
     Setup,
@@ -49,14 +47,12 @@
     share_cores,
 )
 from holdgw.rehearsal.scenario import Scenario, router_names
-from holdgw.rehearsal.timeline import ANSWER_S, LOOK_S, StageError, TimeLine
+from holdgw.rehearsal.timeline import ANSWER_S, StageError, TimeLine
 from holdgw.standins.records import Fallen
 
 CLOCK = time.monotonic
 NODES_RATE, CLIENTS_RATE = 500.0, 700.0  # requests a second that one worker is given
 MOST_NODE_WORKERS, MOST_CLIENT_WORKERS = 4, 4
-START_S = 0.7  # from when all is ready to the prelude
-SETTLE_S = 0.6  # after the last answer that may still come
 SAMPLE_S = 1.0
 
 
@@ -250,29 +246,11 @@
         scenario = self.day.scenario
         await self._start_workers(scenario)
         await self._start_routers(scenario, folder)
-        self.begun = CLOCK() + START_S + scenario.emulator.prelude_s
-        for worker in self.client_workers:
-            worker.send(Begin(self.begun))
+        self.begin()
         self.spawn(self._sample())
-        self.spawn(self.watch_routers())
-        for worker in self.node_workers:
-            self.spawn(self.later(0.0, worker.ask, "learn"))
-        for step in self.day.steps:
-            self.spawn(self.later(step.at, self.carry_out, step))
-        longest = max(one.give_up_ms for one in scenario.classes) / 1000
-        latest = scenario.length_s + longest + SETTLE_S
-        while (now := CLOCK() - self.begun) < latest:
-            progress(self, now)
-            if now > scenario.length_s and await self._all_over():
-                break
-            await asyncio.sleep(LOOK_S)
-        await asyncio.sleep(SETTLE_S)
-        progress(self, CLOCK() - self.begun)
+        await self.until_over(partial(progress, self))
         return await self._gather()
 
-    async def _all_over(self) -> bool:
-        return all([await asyncio.wait_for(worker.ask("done"), ANSWER_S) for worker in self.client_workers])
-
     async def _gather(self) -> Played:
         """End routers in good order, and have workers tell all that is left."""
         for task in list(self._tasks):
@@ -351,11 +329,7 @@
                 name, self._command, self._root, folder, address, CLOCK, self._router_cores
             )
         await asyncio.gather(*(self.start_router(router) for router in self.routers.values()))
-        places = Places(routers={name: router.address for name, router in self.routers.items()})
-        for worker in self.client_workers:
-            worker.send(places)
-            for name in self.routers:
-                worker.send(Front(name, True))
+        self.open_front()
 
     async def _sample(self) -> None:
         while True:
--- a/holdgw/rehearsal/timeline.py
+++ b/holdgw/rehearsal/timeline.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any, Protocol
 
-from holdgw.rehearsal.channel import Front, Message, Places
+from holdgw.rehearsal.channel import Begin, Front, Message, Places
 from holdgw.rehearsal.checker import Life
 from holdgw.rehearsal.day import STORE, Day, Step
 from holdgw.rehearsal.deployment import configuration
@@ -20,6 +20,8 @@
 from holdgw.wire.address import Address
 
 ANSWER_S = 30.0  # for a worker to do what it is told
+START_S = 0.7  # from when all is ready to the prelude
+SETTLE_S = 0.6  # after the last answer that may still come
 ACCEPTS_S = 0.3  # new connections still go to a router that was told to end
 KILL_AFTER_S = 0.75  # beyond the longest deadline
 END_S = 5.0
@@ -103,6 +105,41 @@
         if result is not None:
             await result
 
+    def open_front(self) -> None:
+        """Clients learn of the routers, all of which run."""
+        places = Places(routers={name: router.address for name, router in self.routers.items()})
+        for worker in self.client_workers:
+            worker.send(places)
+        for name in self.routers:
+            self._front(name, True)
+
+    def begin(self) -> None:
+        """The day, with its prelude before it, begins now; its steps follow by themselves."""
+        self.begun = self.clock() + START_S + self.day.scenario.emulator.prelude_s
+        for worker in self.client_workers:
+            worker.send(Begin(self.begun))
+        self.spawn(self.watch_routers())
+        for worker in self.node_workers:
+            self.spawn(self.later(0.0, worker.ask, "learn"))
+        for step in self.day.steps:
+            self.spawn(self.later(step.at, self.carry_out, step))
+
+    async def until_over(self, progress: Callable[[float], None] = lambda _at: None) -> None:
+        """Wait until the day is over and all its requests are, or can't be answered any more; `progress` is
+        called some times a second with the second of the day.
+        """
+        length = self.day.scenario.length_s
+        while (now := self.clock() - self.begun) < length + self.longest + SETTLE_S:
+            progress(now)
+            if now > length and await self._all_done():
+                break
+            await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(SETTLE_S)
+        progress(self.clock() - self.begun)
+
+    async def _all_done(self) -> bool:
+        return all([await asyncio.wait_for(one.ask("done"), ANSWER_S) for one in self.client_workers])
+
     async def until_ended(self) -> None:
         """Have all routers end in good order, and those that don't, anyhow."""
         running = [router for router in self.routers.values() if router.running]
--- a/holdgw/simulation/invariants.py
+++ b/holdgw/simulation/invariants.py
@@ -22,7 +22,6 @@
     from holdgw.simulation.play import Theatre
 
 LOOK_NS = 250 * NS_PER_MS
-LATE_NS = 60 * NS_PER_MS  # beyond its deadline, when the sweep must have answered a request
 LISTENERS = 2  # descriptors that are neither a client's nor a server's: the listener, and discovery's call
 SPARE_TIMERS = 2
 EMPTY = (
@@ -37,7 +36,6 @@
     "starved",
 )
 """Tables that hold nothing once nobody asks."""
-INVARIANTS = ("overdue", "unbounded", "miscounted", "half_closed", "left_over", "fault")
 
 
 @dataclass(slots=True)
@@ -62,22 +60,24 @@
         self._base: dict[str, Reading] = {}
         self._said: set[tuple[str, str]] = set()
 
-    def broke(self, what: str, text: str, at: float | None = None) -> None:
+    def broke(self, what: str, text: str) -> None:
         """An invariant is broken; each is told of once a router."""
         if (what, text) not in self._said:
             self._said.add((what, text))
-            self.broken.append(Broken(what, self._world.seconds if at is None else at, (), text))
+            self.broken.append(Broken(what, self._world.seconds, (), text))
 
     def began(self, name: str, process: Process) -> None:
         """A router's process has started."""
         self._lives.setdefault(name, []).append(process)
 
-    def faults(self, name: str) -> list[tuple[int, list[str]]]:
-        """Faults in callbacks of each of a router's lives."""
-        return [(i + 1, process.faults) for i, process in enumerate(self._lives.get(name, ()))]
+    def tell_faults(self, name: str) -> None:
+        """Faults in callbacks of each of a router's lives break an invariant, too."""
+        for life, process in enumerate(self._lives.get(name, ()), 1):
+            for text in process.faults:
+                self.broke("fault", f"{name} (life {life}): {text}")
 
-    def begin(self, at: float) -> None:
-        """The day begins then: what routers hold now is their base."""
+    def begin(self) -> None:
+        """The day begins: what routers hold now is their base."""
         for name, router in self._theatre.routers.items():
             if router.process is not None:
                 self._base[name] = self._reading(router.process)
--- a/holdgw/simulation/loop.py
+++ b/holdgw/simulation/loop.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import contextvars
-import logging
 import math
 from collections.abc import Callable, Coroutine, Generator
 from contextvars import Context
@@ -21,8 +20,6 @@
 if TYPE_CHECKING:
     from holdgw.simulation.process import Process
 
-log = logging.getLogger("holdgw.simulation")
-
 
 class ProcessLoop(asyncio.AbstractEventLoop):
     """The loop of one simulated process."""
@@ -129,22 +126,18 @@
         return self._handler
 
     def default_exception_handler(self, context: dict[str, Any]) -> None:
-        """Keep it with the process."""
-        error = context.get("exception")
-        text = f"{context.get('message')}: {type(error).__name__}: {error}"
-        self.process.faults.append(text)
-        self._world.trace.add(self._world.now, self.process.name, "fault", text)
+        """Tell of it in the trace."""
+        self._world.trace.add(self._world.now, self.process.name, "fault", _text(context))
 
     def call_exception_handler(self, context: dict[str, Any]) -> None:
-        """Tell of a fault."""
+        """Keep a fault with the process, and tell of it."""
         if not self.process.alive or self._world.over:
             return
+        self.process.faults.append(_text(context))
         if self._handler is None:
             self.default_exception_handler(context)
-            return
-        error = context.get("exception")
-        self.process.faults.append(f"{context.get('message')}: {type(error).__name__}: {error}")
-        self._handler(self, context)
+        else:
+            self._handler(self, context)
 
     # Signals
 
@@ -214,6 +207,11 @@
         """Nothing is kept of them."""
 
 
+def _text(context: dict[str, Any]) -> str:
+    error = context.get("exception")
+    return f"{context.get('message')}: {type(error).__name__}: {error}"
+
+
 def _none_of(others: dict[str, Any]) -> None:
     odd = [name for name, value in others.items() if value]
     if odd:
--- a/holdgw/simulation/network.py
+++ b/holdgw/simulation/network.py
@@ -128,15 +128,6 @@
             self._hosts[ip] = host
         return host
 
-    def add_ip(self, host: Host, ip: str) -> None:
-        """One more address of a machine."""
-        self._hosts[ip] = host
-        host.ips += (ip,)
-
-    def host_of(self, ip: str) -> Host | None:
-        """The machine with this address."""
-        return self._hosts.get(ip)
-
     # Lines
 
     def delay(self, a: Host, b: Host) -> int:
--- a/holdgw/simulation/play.py
+++ b/holdgw/simulation/play.py
@@ -19,13 +19,14 @@
 import orjson
 
 from holdgw.rehearsal.channel import Begin, Finish, Front, Message, Places, Setup, Stored, Voided
-from holdgw.rehearsal.checker import Broken, ClassRule, History, Life, judge
+from holdgw.rehearsal.checker import Broken, History, Life
 from holdgw.rehearsal.clients import ClientConnection
 from holdgw.rehearsal.day import NETWORK, STORE, Day, Step, draw, zone_of_router, zone_of_server
-from holdgw.rehearsal.routers import PING_EVERY_S, READY_S, Usage, pings
+from holdgw.rehearsal.report import judged
+from holdgw.rehearsal.routers import Usage, until_ready
 from holdgw.rehearsal.scenario import Scenario, node_names, router_names
-from holdgw.rehearsal.stage import SETTLE_S, START_S, Played
-from holdgw.rehearsal.timeline import LOOK_S, StageError, TimeLine, Worker
+from holdgw.rehearsal.stage import Played
+from holdgw.rehearsal.timeline import StageError, TimeLine, Worker
 from holdgw.rehearsal.worker import ClientsPart, HubPart, NodesPart, Part
 from holdgw.router.config import ConfigError, load_config
 from holdgw.router.platform import Platform
@@ -40,7 +41,7 @@
 from holdgw.standins import shell
 from holdgw.standins.chance import between, unit
 from holdgw.standins.discovery import DiscoveryServer, _Connection
-from holdgw.standins.records import LAG_BOUNDS_MS, Fallen, Lag, Record
+from holdgw.standins.records import Fallen, Record
 from holdgw.standins.registry_model import Entry, RegistryModel
 from holdgw.wire.address import Address, format_address
 
@@ -48,12 +49,9 @@
 NEWS_NS = 300_000  # until nodes hear of the package store
 FALLEN_S = 0.1  # until the stage hears of a fallen node
 KILL_WITHIN = 400  # a killed router dies within so many of its callbacks, at any await
-COLLECT_EVERY = 200_000  # callbacks; memory is collected then and at no other time
 NS_PER_MS = 1_000_000
 CLIENTS, DISCOVERY = "clients", "discovery"
 
-log = logging.getLogger("holdgw.simulation")
-
 
 @dataclass(slots=True)
 class Outcome:
@@ -97,11 +95,8 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Take one record."""
         process = self._world.current
-        text = record.getMessage()
-        if process is not None:
-            process.log.append(text)
         name = process.name if process is not None else "world"
-        self._world.trace.add(self._world.now, name, "log", text)
+        self._world.trace.add(self._world.now, name, "log", record.getMessage())
 
     def __enter__(self) -> Logs:
         """Take the place of other handlers."""
@@ -286,14 +281,10 @@
 
     async def ready(self) -> bool:
         """Wait until it answers PING with PONG; False: it ended, or did not in time."""
-        assert self.process is not None
-        due = self.theatre.clock() + READY_S
-        while self.process.alive and self.theatre.clock() < due:
-            if await pings(self.address):
-                self.lives[-1] = replace(self.lives[-1], ready=self.theatre.clock())
-                return True
-            await asyncio.sleep(PING_EVERY_S)
-        return False
+        if not await until_ready(self.address, lambda: self.running, self.theatre.clock):
+            return False
+        self.lives[-1] = replace(self.lives[-1], ready=self.theatre.clock())
+        return True
 
     @property
     def running(self) -> bool:
@@ -366,7 +357,6 @@
         self.ips: dict[str, str] = {}
         self.hosts: dict[str, Host] = {}
         self.failure = ""
-        self._main = main
         self._names: dict[Host, list[str]] = {}  # of nodes that came to the same address one after the other
         self._weathers: dict[int, dict[str, Any]] = {}
         self._cuts: dict[int, Cut] = {}
@@ -478,18 +468,9 @@
         scenario, history = self.day.scenario, self.history
         for name, router in self.routers.items():
             history.lives += router.lives
-            for life, faults in self.watch.faults(name):
-                history_at = self._seconds()
-                for text in faults:
-                    self.watch.broke("fault", f"{name} (life {life}): {text}", history_at)
-        rules = {
-            ask.number: ClassRule(cls.effect, cls.window_ms / 1000)
-            for ask in self.day.asks
-            for cls in (scenario.classes[ask.request_class],)
-        }
-        broken = [] if self.failure else judge(history, rules, scenario.router.drain_grace_ms / 1000)
+            self.watch.tell_faults(name)
+        broken = [] if self.failure else judged(self.day, history)
         broken = sorted([*broken, *self.watch.broken], key=lambda one: one.at)
-        history.lags.append(Lag("simulation", self._seconds(), 0.0, (1, *[0] * len(LAG_BOUNDS_MS))))
         played = Played(self.day, history, self.begun, scenario.length_s)
         return Outcome(
             self.day.seed,
@@ -529,26 +510,10 @@
         except StageError as error:
             self.fail(str(error))
             return 1
-        places = Places(routers={name: router.address for name, router in self.routers.items()})
-        for worker in self.client_workers:
-            worker.send(places)
-            for name in self.routers:
-                worker.send(Front(name, True))
-        self.begun = self.clock() + START_S + scenario.emulator.prelude_s
-        self.watch.begin(self.begun)
-        for worker in self.client_workers:
-            worker.send(Begin(self.begun))
-        self.spawn(self.watch_routers())
-        for worker in self.node_workers:
-            self.spawn(self.later(0.0, worker.ask, "learn"))
-        for step in self.day.steps:
-            self.spawn(self.later(step.at, self.carry_out, step))
-        latest = scenario.length_s + self.longest + SETTLE_S
-        while (now := self.clock() - self.begun) < latest:
-            if now > scenario.length_s and await self.client_workers[0].ask("done"):
-                break
-            await asyncio.sleep(LOOK_S)
-        await asyncio.sleep(SETTLE_S)
+        self.open_front()
+        self.begin()
+        self.watch.begin()
+        await self.until_over()
         await self._grow_quiet()
         await self.until_ended()
         for worker in (*self.client_workers, *self.node_workers, self.hub):
--- a/holdgw/simulation/process.py
+++ b/holdgw/simulation/process.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import signal
-from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -20,9 +18,6 @@
 PPM = 1_000_000
 BOOT_NS = 3_600 * NS_PER_S  # clocks of processes begin anywhere within it
 OWN_DESCRIPTORS = 3
-LOG_LINES = 50
-
-log = logging.getLogger("holdgw.simulation")
 
 
 @dataclass(slots=True)
@@ -61,7 +56,6 @@
         self.most_open = 0
         self.main: asyncio.Task[int] | None = None
         self.left: Left | None = None
-        self.log: deque[str] = deque(maxlen=LOG_LINES)
         self.faults: list[str] = []
         """Faults in callbacks that nobody in the process took care of."""
         self._drift = drift_ppm
--- a/holdgw/simulation/world.py
+++ b/holdgw/simulation/world.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import heapq
-import logging
 import random
 from asyncio import events
 from collections import Counter, deque
@@ -28,8 +27,6 @@
 MOST_AT_ONCE = 100_000  # callbacks of one instant, beyond which it is a spin
 LOOKED_AT = 1_000  # of them, the last ones, to name who spins
 
-log = logging.getLogger("holdgw.simulation")
-
 
 class SpinError(Exception):
     """Callbacks follow each other without time passing; the text names the busiest."""
@@ -144,9 +141,8 @@
         self._ready.append(handle)
 
     def pending(self, process: Process) -> list[Handle]:
-        """Calls that a process is still to be given, the next one first."""
-        waiting = [entry[2] for entry in sorted(self._later, key=lambda entry: entry[:2])]
-        calls = (*self._ready, *waiting)
+        """Calls that a process is still to be given, in no order."""
+        calls = (*self._ready, *(handle for _, _, handle in self._later))
         return [call for call in calls if call.process is process and not call._cancelled]
 
     def enter(self, process: Process | None) -> None:
