--- a/holdgw/simulation/play.py
+++ b/holdgw/simulation/play.py
@@ -31,7 +31,7 @@
 from holdgw.router.config import ConfigError, load_config
 from holdgw.router.platform import Platform
 from holdgw.router.program import Program
-from holdgw.simulation.guard import Guard
+from holdgw.simulation.guard import Guard, LeakError
 from holdgw.simulation.invariants import Watch
 from holdgw.simulation.network import Connection, Cut, Host, Network, Weather
 from holdgw.simulation.process import Process
@@ -453,7 +453,7 @@
         try:
             with Guard(self.world), Logs(self.world):
                 self.world.run(until)
-        except SpinError as error:
+        except (SpinError, LeakError) as error:
             self.failure = str(error)
         finally:
             if collecting:
--- a/tests/test_simulation_play.py
+++ b/tests/test_simulation_play.py
@@ -6,7 +6,9 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
+from typing import cast
 
 import msgspec
 import pytest
@@ -17,7 +19,7 @@
 from holdgw.rehearsal.scenario import Scenario, ScenarioError, load_scenario, read_scenario
 from holdgw.rehearsal.troubles import KINDS
 from holdgw.simulation.network import Host
-from holdgw.simulation.play import Outcome, SimulatedRouter, Theatre, real_router, simulate
+from holdgw.simulation.play import Outcome, RouterMain, SimulatedRouter, Theatre, real_router, simulate
 from holdgw.simulation.process import Process
 from holdgw.simulation.search import last_events, play_seed, search
 from holdgw.simulation.shrink import as_toml, shrink
@@ -338,3 +340,12 @@
     code, _, err = run_cli("rehearse", "mixed-storm")
     assert code == 2
     assert "holdgw simulate" in err
+
+
+def test_a_leak_of_the_real_world_ends_the_run_as_a_fault_of_its_seed() -> None:
+    scope = {"__name__": "holdgw.router.planted", "time": time}
+    exec("async def leaks(router, process, environ):\n    return int(time.monotonic())", scope)
+    outcome = simulate(tiny(), 1, main=cast(RouterMain, scope["leaks"]))
+    assert outcome.first == "fault"
+    assert "planted called time.monotonic" in outcome.fault
+    assert not simulate(tiny(), 1).failed
