Each mended fault is put back as a mutant, with a seed that finds it now

Cause: the seeds kept for the faults that the simulation found no longer showed them, as draws of mixed-storm changed after: such a test can't fail.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -191,6 +191,27 @@
         "        self._sweep_timer.cancel()\n        if self._sweep_soon",
         "        if self._sweep_soon",
     ),
+    "cold-unbounded": Mutant(
+        "a cold server has its share of slots, whatever the load on them",
+        "holdgw.policy.logic",
+        "self._caches.any_cold(self._now) and not (room := self._has_room(node, candidates))",
+        "False",
+        scenario="bench/scenarios/cold-start.toml",
+    ),
+    "module-timers-left": Mutant(
+        "what the module waits for goes on when the router has ended",
+        "holdgw.router.host",
+        "        for timer in self._timers:\n            timer.cancel()\n",
+        "",
+        scenario="bench/scenarios/restart-amid-misses.toml",
+    ),
+    "closing-for-ever": Mutant(
+        "a connection being closed to a client that takes nothing is waited for without end",
+        "holdgw.router.clients",
+        "        if self.blocked or self.transport.is_closing():\n",
+        "        if self.blocked:\n",
+        scenario="bench/scenarios/deaf-clients.toml",
+    ),
     "fin-before-answers": Mutant(
         "a client's connection is closed though commands are unanswered",
         "holdgw.router.clients",
--- a/tests/test_simulation_play.py
+++ b/tests/test_simulation_play.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 from typing import cast
 
@@ -96,7 +97,8 @@
     assert simulate(scenario, 1).digest != simulate(scenario, 2).digest
 
 
-# What was found, each by its seed, on the router as it was then
+# Seeds that failed once. Draws of mixed-storm have changed since, so they stand for odd days and no longer
+# for the fault named; the router's own faults are put back below, each with a seed that finds it now.
 
 FOUND = {
     43: "a client's own second sending after a router's death was judged the router's",
@@ -135,6 +137,10 @@
         ("half-closed-reused", 3, "half_closed"),
         ("descriptor-miscounted", 1, "miscounted"),
         ("deadline-unwatched", 1, "overdue"),
+        # The faults that the simulation found, put back.
+        ("closing-for-ever", 1, "left_over"),
+        ("module-timers-left", 2, "left_over"),
+        ("cold-unbounded", 81, "felled"),
     ],
 )
 def test_a_planted_fault_is_found(name: str, seed: int, rule: str) -> None:
@@ -243,6 +249,19 @@
     assert theatre.hosts["node001"].epoch == 1
 
 
+def test_after_a_stall_the_module_answers_what_is_due_and_not_the_sweep() -> None:
+    text = '[[trouble]]\nkind = "silence"\nat = 0.1\nseconds = 2.8\nshare = 1.0\nstore = true\n'
+    for i in range(24):
+        text += f'[[trouble]]\nkind = "router_stop"\nat = {0.6 + i * 0.08:.2f}\nseconds = 0.03\nrouters = 2\n'
+    text += "[clients]\nretries = 0\nimpatient = 0.0\ntry_share = [0.5, 0.5]\n"
+    outcome = simulate(tiny(text), 1)
+    assert not outcome.failed
+    assert outcome.played is not None
+    answers = Counter(one.answer for one in outcome.played.history.tries)
+    assert answers["refused"] > 20
+    assert answers["failed"] == 0
+
+
 # The command
 
 
