An operators' door: status, figures, servers out by hand; the clients' socket is inherited

The change: holdgw/operation: roster (pure: the operators' word laid over discovery's list, so that a server out by hand is a drain to module and pool alike), figures (counted where the answer is given), door (one HTTP call to a connection, a bounded table). A server called back counts as started then, unless discovery names a later start. LB_OPS, LB_PASSED_SOCKET.

--- a/bench/hot_path.py
+++ b/bench/hot_path.py
@@ -18,9 +18,9 @@
 
 import uvloop
 
+from holdgw.operation.listing import Listing
 from holdgw.policy import Effect, ListKind, RequestClass, Server, ServersChanged, Settings, Tenant
 from holdgw.router.clients import ClientServer
-from holdgw.router.discovery import Listing
 from holdgw.router.host import RouterHost
 from holdgw.router.upstream import Pool
 from holdgw.wire.resp import command
--- /dev/null
+++ b/holdgw/operation/figures.py
@@ -0,0 +1,52 @@
+"""What a router reports of itself: counts since its start and states of now, as text for a scraper.
+
+The text is Prometheus' exposition format, version 0.0.4.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class Disposition(Enum):
+    """How a request ended: served, refused or failed."""
+
+    SUCCEEDED = "succeeded"
+    DECLINED = "declined"
+    ABORTED = "aborted"
+
+
+class Figures:
+    """The counts; whoever gives an answer or makes an attempt counts it there and then."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self.results = {(name, disposition): 0 for name in classes for disposition in Disposition}
+        self.forwards = 0
+        """Attempts written whole to cache servers; the origin is none."""
+        self.reloads_applied = self.reloads_rejected = 0
+
+    def ended(self, request_class: str, disposition: Disposition) -> None:
+        """Count a request's final answer; a class that the settings don't name is not counted."""
+        key = request_class, disposition
+        if key in self.results:
+            self.results[key] += 1
+
+    def text(self, outstanding: int, discovered: int, ejected: int) -> bytes:
+        """Write all figures down."""
+        lines = ["# TYPE lb_results counter"]
+        for (name, disposition), count in self.results.items():
+            escaped = name.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+            lines.append(f'lb_results{{service="{escaped}",disposition="{disposition.value}"}} {count}')
+        for name, kind, value in (
+            ("forwards", "counter", self.forwards),
+            ("outstanding", "gauge", outstanding),
+            ("discovered", "gauge", discovered),
+            ("ejected", "gauge", ejected),
+            ("sighup_applied", "counter", self.reloads_applied),
+            ("sighup_rejected", "counter", self.reloads_rejected),
+        ):
+            lines += [f"# TYPE lb_{name} {kind}", f"lb_{name} {value}"]
+        return "\n".join([*lines, ""]).encode()
--- /dev/null
+++ b/holdgw/operation/roster.py
@@ -0,0 +1,116 @@
+"""The operators' word on single servers, laid over discovery's list. No I/O, no clock.
+
+A server out by hand is shown to the router as draining, whatever discovery says of it, so that everything
+that keeps drains keeps this one too.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from holdgw.operation.listing import Listing
+from holdgw.policy import ListKind, Server, ServersChanged, ServerState
+from holdgw.wire.address import Address
+
+OUT_MOST = 4096  # ids out by hand: many times the servers there are
+
+
+class UnknownServerError(Exception):
+    """The id is of no cache server in the list; the text is one plain line."""
+
+
+class Roster:
+    """Discovery's list as last told, and which of its servers are out by hand. Times: monotonic ns."""
+
+    def __init__(self, origin_kind: str | None) -> None:
+        self._origin_kind = origin_kind
+        self._listed: dict[str, tuple[Server, Address]] = {}
+        self._generation = 0
+        self._out: dict[str, int] = {}  # id -> since when
+        self._back: dict[str, tuple[int, int]] = {}  # id -> how long it was out: from, until
+
+    def take(self, listing: Listing) -> Listing:
+        """Take news of discovery; returns it as the router is to see it."""
+        self._generation = listing.generation
+        if listing.change.kind is not ListKind.DELTA:
+            self._listed = {}
+        for server in listing.change.servers:
+            if server.state is ServerState.GONE:
+                self._listed.pop(server.id, None)
+                self._back.pop(server.id, None)
+            else:
+                self._listed[server.id] = server, listing.addresses[server.id]
+        if listing.change.kind is not ListKind.DELTA:
+            self._back = {name: spell for name, spell in self._back.items() if name in self._listed}
+        if not self._out and not self._back:
+            return listing
+        seen = tuple(map(self._seen, listing.change.servers))
+        return Listing(listing.generation, ServersChanged(listing.change.kind, seen), listing.addresses)
+
+    def leave_out(self, server_id: str, now: int) -> Listing | None:
+        """Take a server out by hand; returns the news for the router, None where it was out already.
+
+        Raises UnknownServerError.
+        """
+        self._known(server_id)
+        if server_id in self._out:
+            return None
+        if len(self._out) >= OUT_MOST:
+            raise UnknownServerError("too many servers are out by hand")
+        return self.hold(server_id, now)
+
+    def hold(self, server_id: str, since: int) -> Listing | None:
+        """The same for an id that may not be listed yet: the word of another process of this router."""
+        if server_id in self._out or len(self._out) >= OUT_MOST:
+            return None
+        self._out[server_id] = since
+        self._back.pop(server_id, None)
+        return self._news(server_id)
+
+    def use_again(self, server_id: str, now: int) -> Listing | None:
+        """Undo it, however often it was asked for; returns the news. Raises UnknownServerError."""
+        since = self._out.pop(server_id, None)
+        if since is None:
+            self._known(server_id)
+            return None
+        # Danger: the server was restarted while it was out, and discovery tells of it seconds late. Believed
+        # to be as warm as it was, it would be sent its full load at once, and pushed over. It could do harm
+        # to one that was not restarted: it gets its load back over the time that a cold one takes.
+        self._back[server_id] = since, now
+        return self._news(server_id)
+
+    def _known(self, server_id: str) -> None:
+        entry = self._listed.get(server_id)
+        if entry is None:
+            raise UnknownServerError(f"no server {server_id!r} in the list")
+        if entry[0].kind == self._origin_kind:
+            raise UnknownServerError(f"{server_id!r} is the origin, which nothing can stand in for")
+
+    def _news(self, server_id: str) -> Listing | None:
+        entry = self._listed.get(server_id)
+        if entry is None:
+            return None
+        change = ServersChanged(ListKind.DELTA, (self._seen(entry[0]),))
+        return Listing(self._generation, change, {server_id: entry[1]})
+
+    def _seen(self, server: Server) -> Server:
+        if server.id in self._out and server.state is ServerState.READY:
+            return replace(server, state=ServerState.DRAINING)
+        spell = self._back.get(server.id)
+        if spell is not None and server.started < spell[0]:
+            return replace(server, started=spell[1])
+        return server
+
+    @property
+    def out(self) -> dict[str, int]:
+        """The ids out by hand, listed or not, and since when."""
+        return dict(self._out)
+
+    @property
+    def discovered(self) -> int:
+        """How many cache servers are in the list, those that drain among them."""
+        return sum(server.kind != self._origin_kind for server, _ in self._listed.values())
+
+    def avoided(self, by_choice: list[str]) -> int:
+        """How many listed cache servers are avoided: by hand, or by the module's choice."""
+        return len((self._out.keys() | set(by_choice)) & self._listed.keys())
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -357,6 +357,10 @@
                 self._finish(self._requests[event.request])
         return self._actions
 
+    def avoided(self) -> list[str]:
+        """The ready cache servers that are left out by choice, but for a trial now and then."""
+        return [name for name, node in self._caches.nodes.items() if node.down]
+
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
             self._keep_subscribed(event.kind)
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from typing import Any, Protocol, cast
 
@@ -35,6 +36,9 @@
     def request_arrived(self, command: Command, reply: Reply) -> None:
         """A request is whole."""
 
+    def refuse(self, command: Command, reply: Reply) -> None:
+        """A request is whole that there is no room for."""
+
     def client_gone(self, reply: Reply) -> None:
         """The client that waits for this reply has left."""
 
@@ -160,7 +164,7 @@
             return
         if self.refusing:
             self._last = True
-            reply.send(b"-BUSY\r\n")
+            self.server.host.refuse(command, reply)
             return
         self.asked = True
         self.server.host.request_arrived(command, reply)
@@ -281,11 +285,16 @@
         self._listener: asyncio.Server | None = None
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
-    async def listen(self, address: Address) -> Address:
-        """Accept clients at this address; returns it, with the port that was got."""
-        self._listener = await self.loop.create_server(
-            lambda: ClientConnection(self), *address, backlog=BACKLOG
-        )
+    async def listen(self, address: Address, passed: socket.socket | None = None) -> Address:
+        """Accept clients at this address, or on a socket that listens already; returns where that is."""
+        if passed is not None:
+            self._listener = await self.loop.create_server(
+                lambda: ClientConnection(self), sock=passed, backlog=BACKLOG
+            )
+        else:
+            self._listener = await self.loop.create_server(
+                lambda: ClientConnection(self), *address, backlog=BACKLOG
+            )
         host, port = self._listener.sockets[0].getsockname()[:2]
         return str(host), int(port)
 
--- a/holdgw/router/config.py
+++ b/holdgw/router/config.py
@@ -41,6 +41,10 @@
     memory: int
     """Bytes; over this the router is killed."""
     sockets: int
+    ops: Address | None
+    """Where operators call; None: nowhere."""
+    passed: int | None
+    """The descriptor of the clients' listening socket, where the platform holds it."""
     known: dict[str, Any] | None
     """The list of servers as last held, in discovery's form; it may be old."""
 
@@ -72,11 +76,20 @@
     return int(value)
 
 
+def _descriptor(where: str, text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isdecimal() or len(text) > 6:
+        raise ValueError(f"{where}: expected a descriptor's number, got {text!r}")
+    return int(text)
+
+
 def _config(told: dict[str, Any], environ: Mapping[str, str]) -> Config:
     facts = typed("settings", told["settings"], dict)
     ceilings = facts.get("ceilings") or {}
     limits = typed("limits", told.get("limits") or {}, dict)
     known = told.get("known")
+    ops = environ.get("LB_OPS") or told.get("ops")
     return Config(
         name=environ.get("LB_NAME") or str(told.get("name") or "router"),
         listen=parse_address("listen", environ.get("LB_LISTEN") or told["listen"]),
@@ -90,5 +103,7 @@
         idle_close=_positive("ceilings.idleCloseNs", ceilings.get("idleCloseNs"), DEFAULT_IDLE_CLOSE_NS),
         memory=_positive("limits.memory_mb", limits.get("memory_mb"), DEFAULT_MEMORY_MB) << 20,
         sockets=_positive("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS),
+        ops=parse_address("ops", ops) if ops else None,
+        passed=_descriptor("LB_PASSED_SOCKET", environ.get("LB_PASSED_SOCKET")),
         known=typed("known", known, dict) if known is not None else None,
     )
--- a/holdgw/router/discovery.py
+++ b/holdgw/router/discovery.py
@@ -7,11 +7,11 @@
 import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, cast
 
 import orjson
 
+from holdgw.operation.listing import Listing
 from holdgw.policy import ListKind, Server, ServersChanged, ServerState
 from holdgw.wire.address import Address, parse_address
 from holdgw.wire.http import HttpError, HttpReader, request
@@ -29,15 +29,6 @@
 log = logging.getLogger("holdgw")
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """One answer of discovery: the module's event, and the address of each server in it."""
-
-    generation: int
-    change: ServersChanged
-    addresses: dict[str, Address]
-
-
 class Clock:
     """Turns Unix times into times of the monotonic clock, always by the same difference."""
 
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
+from holdgw.operation.figures import Disposition, Figures
+from holdgw.operation.listing import Listing
 from holdgw.policy import (
     Action,
     AttemptEnded,
@@ -35,7 +37,6 @@
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.caches import CacheConnection
 from holdgw.router.clients import Reply
-from holdgw.router.discovery import Listing
 from holdgw.router.origin import OriginConnection
 from holdgw.router.upstream import Exchange, Pool
 from holdgw.wire import http, resp
@@ -57,10 +58,11 @@
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
-    __slots__ = ("attempts", "closed", "command", "deadline", "id", "out", "reply")
+    __slots__ = ("attempts", "closed", "cls", "command", "deadline", "id", "out", "reply")
 
     def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int) -> None:
         self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
+        self.cls = command.fields["c"]
         self.attempts = self.out = 0
         self.closed = False
 
@@ -106,6 +108,10 @@
         words = [command.name, command.key, command.id, command.info_with(left)]
         return resp.command(*words) if command.value is None else resp.command(*words, command.value)
 
+    def written(self) -> None:
+        """Count what has gone to a cache server."""
+        self._host.figures.forwards += not self._to_origin
+
     def ended(
         self,
         outcome: Outcome,
@@ -122,6 +128,7 @@
         request.out -= 1
         if outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
+            self._host.figures.ended(request.cls, Disposition.SUCCEEDED)
             reply.send(resp.bulk(value))
         now = self._host.now()
         event = AttemptEnded(
@@ -192,6 +199,7 @@
         self.ready = False
         self.subscribe: Callable[[], None] = lambda: None
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
+        self.figures = Figures(cls.name for cls in settings.classes)
         self._router = Router(settings, seed)
         self._pool, self._max_open = pool, max_open
         self._classes = {cls.name: cls for cls in settings.classes}
@@ -243,7 +251,7 @@
         due = self.now() - OVERDUE_NS
         for request in [r for r in self._requests.values() if r.deadline < due and not r.closed]:
             log.warning("a request was past its deadline with no answer")
-            self._answer(request.id, FAILED)
+            self._answer(request.id, FAILED, Disposition.ABORTED)
             self.tell(ClientGone(request.id))
 
     def call_at(self, due: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
@@ -267,7 +275,7 @@
             # Danger: two requests under one id would share attempts, and one would have the other's answer.
             reply.fail("duplicate id")
         elif len(self._requests) >= self._max_open:
-            reply.send(b"-BUSY\r\n")
+            self.refuse(command, reply)
         else:
             deadline = self.now() + command.timeout_ms * NS_PER_MS
             request = OpenRequest(request_id, command, reply, deadline)
@@ -285,6 +293,20 @@
                 )
             )
 
+    def refuse(self, command: Command, reply: Reply) -> None:
+        """Turn a request away for which there is no room."""
+        self.figures.ended(command.fields["c"], Disposition.DECLINED)
+        reply.send(b"-BUSY\r\n")
+
+    @property
+    def outstanding(self) -> int:
+        """Requests taken that have no final answer yet."""
+        return sum(not request.closed for request in self._requests.values())
+
+    def avoided(self) -> list[str]:
+        """The cache servers that the module leaves out by choice."""
+        return self._router.avoided()
+
     def _fault(self, command: Command) -> str:
         """What makes a command unfit for any server, by the settings; empty where nothing does."""
         cls = self._classes.get(command.fields["c"])
@@ -315,10 +337,11 @@
             if len(self._recent) > RECENT:
                 del self._recent[next(iter(self._recent))]
 
-    def _answer(self, request_id: str, data: bytes) -> None:
+    def _answer(self, request_id: str, data: bytes, disposition: Disposition) -> None:
         request = self._requests.get(request_id)
         if request is not None and not request.closed:
             request.closed = True
+            self.figures.ended(request.cls, disposition)
             request.reply.send(data)
             self.settle(request)
 
@@ -383,7 +406,7 @@
         if isinstance(event, RequestArrived | AttemptEnded):
             request = self._requests.get(event.request)
             if request is not None and not request.out:
-                self._answer(event.request, FAILED)
+                self._answer(event.request, FAILED, Disposition.ABORTED)
 
     def _carry_out(self, action: Action) -> None:
         match action:
@@ -393,9 +416,9 @@
                 self._set_timer(self.now() + action.delay, action.token)
             case Refuse():
                 wait = b" %d" % -(-action.retry_after // NS_PER_MS) if action.retry_after > 0 else b""
-                self._answer(action.request, b"-BUSY%b\r\n" % wait)
+                self._answer(action.request, b"-BUSY%b\r\n" % wait, Disposition.DECLINED)
             case Fail():
-                self._answer(action.request, FAILED)
+                self._answer(action.request, FAILED, Disposition.ABORTED)
             case Subscribe():
                 self.subscribe()
             case Probe():
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -5,13 +5,17 @@
 import asyncio
 import logging
 import signal
+import socket
 from dataclasses import replace
 
+from holdgw.operation.door import Door
+from holdgw.operation.listing import Listing
+from holdgw.operation.roster import Roster
 from holdgw.policy import ListKind
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.clients import ClientServer
 from holdgw.router.config import Config, ConfigError, load_config
-from holdgw.router.discovery import Clock, Discovery, Listing, read_listing
+from holdgw.router.discovery import Clock, Discovery, read_listing
 from holdgw.router.host import RouterHost
 from holdgw.router.platform import Platform
 from holdgw.router.upstream import Pool
@@ -22,7 +26,7 @@
 MIDWAY_S = 0.65  # then commands that are not whole are no longer waited for
 KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
 DRAIN_STEP_S = 0.01
-OWN_DESCRIPTORS = 32  # standard streams, the listener, the event loop, discovery
+OWN_DESCRIPTORS = 32  # standard streams, the listeners, the event loop, discovery, callers at the door
 CLIENT_SHARE = 0.5  # of the other descriptors: clients' requests hold a third of all at most
 
 log = logging.getLogger("holdgw")
@@ -48,9 +52,12 @@
             config.discovery, asked, self.clock, self._take, self.host.discovery_failed
         )
         self.host.subscribe = self.discovery.subscribe
+        self.roster = Roster(config.settings.origin_kind)
+        self.door = Door(loop, self)
+        self._leaving = False
 
     def _take(self, listing: Listing) -> None:
-        self.host.servers_changed(listing)
+        self.host.servers_changed(self.roster.take(listing))
         self.host.ready = True
 
     def _make_do(self) -> None:
@@ -68,18 +75,22 @@
         if config.known is not None:
             known = read_listing(config.known, self.clock, ListKind.CACHED)
             self.discovery.know(known.generation)
-            self.host.servers_changed(known)
+            self.host.servers_changed(self.roster.take(known))
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        address = await self.clients.listen(config.listen)
+        if config.ops is not None:
+            await self.door.listen(config.ops)
+        address = await self.clients.listen(config.listen, self._passed_socket())
         if listening is not None:
             listening.set_result(address)
         if not config.settings.must_subscribe:
             self.discovery.start()
         make_do = loop.call_later(READY_S, self._make_do) if config.known is not None else None
         await terminated.wait()
+        self._leaving = True
         await self._drain()
         if make_do is not None:
             make_do.cancel()
+        self.door.close()
         self.clients.close()
         self.host.close()
         self.discovery.close()
@@ -88,19 +99,56 @@
 
     def tables(self) -> dict[str, int]:
         """How much each of the router's tables holds now, for tests of what is left behind."""
-        return {"clients": self.clients.connected, **self.host.tables(), **self.pool.tables()}
+        own = {"clients": self.clients.connected, "callers": self.door.callers}
+        return {**own, **self.host.tables(), **self.pool.tables()}
+
+    # What operators call for at the door
+
+    def can_serve(self) -> bool:
+        """Whether this process can serve clients now."""
+        return self.host.ready and not self._leaving
+
+    def figures(self) -> bytes:
+        """The figures as text."""
+        host, roster = self.host, self.roster
+        return host.figures.text(host.outstanding, roster.discovered, roster.avoided(host.avoided()))
+
+    def leave_out(self, server_id: str) -> None:
+        """Take a cache server out by hand; raises UnknownServerError."""
+        news = self.roster.leave_out(server_id, self.platform.monotonic_ns())
+        if news is not None:
+            self.host.servers_changed(news)
+
+    def use_again(self, server_id: str) -> None:
+        """Use a cache server again; raises UnknownServerError."""
+        news = self.roster.use_again(server_id, self.platform.monotonic_ns())
+        if news is not None:
+            self.host.servers_changed(news)
+
+    def _passed_socket(self) -> socket.socket | None:
+        """The listening socket that the platform holds; raises OSError where it is none."""
+        if self.config.passed is None:
+            return None
+        passed = socket.socket(fileno=self.config.passed)
+        if not passed.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(f"LB_PASSED_SOCKET: descriptor {self.config.passed} listens to nobody")
+        return passed
 
     def _reload(self) -> None:
         """Read the configuration again, while all goes on; what can't be read changes nothing."""
         try:
             new = load_config(self.platform.environ, again=True, read=self.platform.read)
         except ConfigError as error:
+            self.host.figures.reloads_rejected += 1
             log.error("reload: %s; the old configuration stays", error)
             return
+        self.host.figures.reloads_applied += 1
         log.info("reload: discovery at %s:%d", *new.discovery)
         self.discovery.move(new.discovery)
         config = self.config
-        kept = replace(new, discovery=config.discovery, known=config.known, seed=config.seed)
+        kept = replace(
+            new, discovery=config.discovery, known=config.known, seed=config.seed, passed=config.passed
+        )
         if kept != config:
             log.warning("reload: only the address of discovery is taken over; the rest waits for a restart")
 
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -29,6 +29,9 @@
     fresh = False  # the first one on its connection
     begun = False  # some of its answer has come
 
+    def written(self) -> None:
+        """The kernel has taken the last byte of the request."""
+
     @abstractmethod
     def request_bytes(self, address: Address) -> bytes:
         """Write the request down; called when the connection for it is at hand."""
@@ -89,6 +92,8 @@
     def resume_writing(self) -> None:
         """The kernel has taken the last byte."""
         self.unsent = False
+        if self.exchange is not None:
+            self.exchange.written()
 
     @property
     def usable(self) -> bool:
@@ -101,6 +106,8 @@
         self.exchange, exchange.connection = exchange, self
         exchange.fresh, self._used = not self._used, True
         self.transport.write(exchange.request_bytes(self.server.address))
+        if not self.unsent:
+            exchange.written()
 
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
--- a/holdgw/wire/http.py
+++ b/holdgw/wire/http.py
@@ -175,7 +175,14 @@
         self._whole.append(HttpRequest(method, self._target, self._headers, bytes(self._body)))
 
 
-_REASONS = {200: "OK", 400: "Bad Request", 500: "Internal Server Error", 503: "Service Unavailable"}
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 
 
 def response(status: int, body: bytes = b"", headers: bytes = b"") -> bytes:
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -13,10 +13,11 @@
 MAY_IMPORT = {
     "policy": set(),
     "wire": set(),
-    "router": {"policy", "wire"},
+    "operation": {"policy", "wire"},
+    "router": {"operation", "policy", "wire"},
     "standins": {"wire"},
     "rehearsal": {"standins", "wire"},
-    "simulation": {"rehearsal", "router", "standins", "wire"},
+    "simulation": {"operation", "rehearsal", "router", "standins", "wire"},
     "cli": {"router", "rehearsal", "simulation"},
     "__main__": {"cli"},
     "__init__": set(),
@@ -74,7 +75,7 @@
     script = "import sys, holdgw.router.__main__; print('\\n'.join(sys.modules))"
     loaded = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True).stdout
     mine = {name for name in loaded.split() if name.startswith("holdgw.")}
-    assert rooms(mine) <= {"policy", "wire", "router"}
+    assert rooms(mine) <= {"operation", "policy", "wire", "router"}
     others = {name.split(".")[0] for name in loaded.split()} - set(sys.stdlib_module_names) - {"holdgw"}
     assert not others & {"typer", "rich", "click", "matplotlib"}
     assert {name for name in others if not name.startswith("_")} & LEAN >= {"hiredis", "uvloop"}
