A new process takes the place of the old one: hand-outs are shared, connections handed over

The change: operation/takeover: a Unix socket in TMPDIR links the processes of a router. The elder tells which servers are out by hand, both tell of every later call before they answer yes, and on SIGTERM clients' connections go to the successor by descriptor, with the bytes of a command under way. While linked each takes half of the descriptors.

Tests fail without the handover and without the words.

--- a/holdgw/operation/figures.py
+++ b/holdgw/operation/figures.py
@@ -25,7 +25,7 @@
     def __init__(self, classes: Iterable[str]) -> None:
         self.results = {(name, disposition): 0 for name in classes for disposition in Disposition}
         self.forwards = 0
-        """Attempts written whole to cache servers; the origin is none."""
+        """Attempts written whole to servers, the origin among them."""
         self.reloads_applied = self.reloads_rejected = 0
 
     def ended(self, request_class: str, disposition: Disposition) -> None:
--- /dev/null
+++ b/holdgw/operation/takeover.py
@@ -0,0 +1,310 @@
+"""The link between a router's process and the one that takes its place: words, and clients' descriptors.
+
+The one who serves listens on a Unix socket in a private folder; a successor that starts beside it connects
+there. Both then belong to one router: each is told of every server that is taken out by hand at the other,
+and on SIGTERM the elder hands its clients' connections over, a message and a descriptor each (unix(7),
+SCM_RIGHTS).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+
+VERSION = 1
+NAME = "holdgw.link"
+HELD_MOST = 32 << 10  # bytes of a command under way that go with a connection; a longer one is waited for
+MESSAGE_MOST = HELD_MOST + (64 << 10)  # a word of another kind: thousands of ids
+MET_S = 1.0  # the elder tells what it has in so long, or is taken for stuck
+LINKS_MOST = 4  # processes of one router beside this one
+UNSENT_MOST = 4096  # messages that the other side has not taken, past which it is taken for stuck
+
+log = logging.getLogger("holdgw")
+
+
+class Hello(msgspec.Struct, tag="hello", frozen=True):
+    """The successor's first word. Unknown fields of any message are ignored."""
+
+    version: int
+
+
+class Outs(msgspec.Struct, tag="outs", frozen=True):
+    """The elder's answer: the servers out by hand, and since when (monotonic ns, the machine's)."""
+
+    version: int
+    since: dict[str, int]
+
+
+class Hand(msgspec.Struct, tag="hand", frozen=True):
+    """A server was taken out by hand at this time, or is used again from then on."""
+
+    server: str
+    out: bool
+    at: int
+
+
+class Ready(msgspec.Struct, tag="ready", frozen=True):
+    """The successor can serve."""
+
+
+class Client(msgspec.Struct, tag="client", frozen=True):
+    """A client's connection, whose descriptor comes along, and what has come of a command under way."""
+
+    held: bytes
+    asked: bool
+    waited: float
+    """Seconds since that command began, or since the connection's last."""
+
+
+Message = Hello | Outs | Hand | Ready | Client
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+class Link:
+    """One connection between two processes of a router; owns it and every descriptor on the way."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        sock: socket.socket,
+        take: Callable[[Link, Message, int | None], None],
+        lost: Callable[[Link], None],
+    ) -> None:
+        self._loop, self._sock, self._take, self._lost = loop, sock, take, lost
+        self._unsent: deque[tuple[bytes, int | None]] = deque()
+        self.open = True
+        self.ready = False
+        """Whether the other side is a successor that can serve."""
+        sock.setblocking(False)
+        loop.add_reader(sock, self._readable)
+
+    def send(self, message: Message, descriptor: int | None = None) -> None:
+        """Send in order, and close the descriptor once it is on its way. Nothing is sent on a closed link."""
+        if not self.open:
+            if descriptor is not None:
+                os.close(descriptor)
+            return
+        self._unsent.append((_encode(message), descriptor))
+        if len(self._unsent) == 1:
+            self._write()
+        elif len(self._unsent) > UNSENT_MOST:
+            log.error("takeover: the other process takes nothing")
+            self.close()
+
+    def _write(self) -> None:
+        while self._unsent:
+            data, descriptor = self._unsent[0]
+            try:
+                socket.send_fds(self._sock, [data], [] if descriptor is None else [descriptor])
+            except (BlockingIOError, InterruptedError):
+                self._loop.add_writer(self._sock, self._write)
+                return
+            except OSError as error:
+                log.warning("takeover: %s", error)
+                self.close()
+                return
+            self._unsent.popleft()
+            if descriptor is not None:
+                os.close(descriptor)
+        self._loop.remove_writer(self._sock)
+
+    @property
+    def sent(self) -> bool:
+        """Whether the kernel has all that was sent."""
+        return not self._unsent
+
+    def _readable(self) -> None:
+        # Danger: one message a turn would let a hundred connections wait for as many turns of a busy loop.
+        while self.open:
+            try:
+                data, descriptors, _, _ = socket.recv_fds(self._sock, MESSAGE_MOST, 1)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                log.warning("takeover: %s", error)
+                self.close()
+                return
+            descriptor = descriptors[0] if descriptors else None
+            if not data:
+                self.close()
+                return
+            try:
+                message = _decode(data)
+            except msgspec.DecodeError as error:
+                log.error("takeover: a message can't be read: %s", error)
+                if descriptor is not None:
+                    os.close(descriptor)
+                self.close()
+                return
+            self._take(self, message, descriptor)
+
+    def close(self) -> None:
+        """End the link; what is not sent yet is dropped with its descriptors."""
+        if not self.open:
+            return
+        self.open = False
+        self._loop.remove_reader(self._sock)
+        self._loop.remove_writer(self._sock)
+        self._sock.close()
+        unsent, self._unsent = self._unsent, deque()
+        for _, descriptor in unsent:
+            if descriptor is not None:
+                os.close(descriptor)
+        self._lost(self)
+
+
+class Takeover:
+    """This process among those of its router: at most an elder before it and a successor after it."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        outs: Callable[[], dict[str, int]],
+        hand: Callable[[Hand], None],
+        adopt: Callable[[Client, int], None],
+        changed: Callable[[], None],
+    ) -> None:
+        """`outs`: the servers out by hand here; `hand`, `adopt`: take what another process sends.
+
+        `changed`: links have come or gone.
+        """
+        self._loop, self._outs, self._hand, self._adopt, self._changed = loop, outs, hand, adopt, changed
+        self._links: dict[Link, None] = {}
+        self._elder: Link | None = None
+        self._met: asyncio.Future[None] | None = None
+        self._door: socket.socket | None = None
+        self._path: Path | None = None
+        self._inode = 0
+
+    async def begin(self, folder: Path) -> None:
+        """Meet the elder in this folder, if there is one, and then wait for a successor there.
+
+        Never fails: without a link an upgrade is a plain restart, and the log says why.
+        """
+        path = folder / NAME
+        try:
+            await self._meet(path)
+            self._wait_at(path)
+        except OSError as error:
+            log.warning("takeover: none is possible: %s", error)
+
+    async def _meet(self, path: Path) -> None:
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            sock.connect(os.fspath(path))  # local: it is there at once, or not at all
+        except (FileNotFoundError, ConnectionRefusedError):
+            sock.close()
+            return
+        except OSError:
+            sock.close()
+            raise
+        self._met = self._loop.create_future()
+        self._elder = self._add(sock)
+        self._elder.send(Hello(VERSION))
+        # Danger: to serve before the elder has told which servers are out by hand would send to one of them.
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._met, MET_S)
+        if not self._met.done() or self._met.cancelled():
+            log.error("takeover: the elder says nothing; going on without its word")
+
+    def _wait_at(self, path: Path) -> None:
+        with suppress(FileNotFoundError):
+            path.unlink()  # the elder's: it goes on by its link, or its owner is dead
+        door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            door.bind(os.fspath(path))
+            door.listen(LINKS_MOST)
+        except OSError:
+            door.close()
+            raise
+        door.setblocking(False)
+        self._door, self._path, self._inode = door, path, path.stat().st_ino
+        self._loop.add_reader(door, self._accept)
+
+    def _accept(self) -> None:
+        assert self._door is not None
+        try:
+            sock, _ = self._door.accept()
+        except OSError:
+            return
+        if len(self._links) >= LINKS_MOST:
+            sock.close()
+            return
+        self._add(sock)
+
+    def _add(self, sock: socket.socket) -> Link:
+        link = Link(self._loop, sock, self._take, self._lost)
+        self._links[link] = None
+        self._changed()
+        return link
+
+    def _lost(self, link: Link) -> None:
+        self._links.pop(link, None)
+        if link is self._elder:
+            self._elder = None
+            if self._met is not None and not self._met.done():
+                self._met.set_result(None)
+        self._changed()
+
+    def _take(self, link: Link, message: Message, descriptor: int | None) -> None:
+        match message:
+            case Hello():
+                link.send(Outs(VERSION, self._outs()))
+            case Outs():
+                for server, since in message.since.items():
+                    self._hand(Hand(server, True, since))
+                if self._met is not None and not self._met.done():
+                    self._met.set_result(None)
+            case Hand():
+                self._hand(message)
+                self.tell(message, but=link)
+            case Ready():
+                link.ready = True
+            case Client() if descriptor is not None:
+                self._adopt(message, descriptor)
+                descriptor = None
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def tell(self, message: Message, but: Link | None = None) -> None:
+        """Tell the other processes."""
+        for link in list(self._links):
+            if link is not but:
+                link.send(message)
+
+    def ready(self) -> None:
+        """Tell the elder that this process can serve."""
+        if self._elder is not None:
+            self._elder.send(Ready())
+
+    @property
+    def linked(self) -> bool:
+        """Whether another process of this router is alive."""
+        return bool(self._links)
+
+    @property
+    def successor(self) -> Link | None:
+        """The process that takes over, once it can serve; the newest of several."""
+        ready = [link for link in self._links if link.ready and link.open]
+        return ready[-1] if ready else None
+
+    def close(self) -> None:
+        """Leave; the path stays if it is a successor's by now."""
+        if self._door is not None and self._path is not None:
+            self._loop.remove_reader(self._door)
+            self._door.close()
+            with suppress(OSError):
+                if self._path.stat().st_ino == self._inode:
+                    self._path.unlink()
+        for link in list(self._links):
+            link.close()
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import logging
+import os
 import socket
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Protocol, cast
 
+from holdgw.operation.takeover import HELD_MOST, Client
 from holdgw.wire.address import Address
 from holdgw.wire.resp import Command, CommandReader, parse_request
 
@@ -69,8 +72,9 @@
 class ClientConnection(asyncio.Protocol):
     """One client's connection."""
 
-    def __init__(self, server: ClientServer) -> None:
+    def __init__(self, server: ClientServer, taken_over: Client | None = None) -> None:
         self.server = server
+        self._taken_over = taken_over  # what came with it from another process
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()
         self.blocked = self.closed = False
@@ -82,6 +86,7 @@
         self._parsing = False
         self._last = False  # nothing more is read, and it closes once all is answered
         self._closing = False  # it closes as soon as it stands between requests
+        self._handing = False  # no more commands are taken: another process is to have them
         self._unsent = 0
         self._linger: asyncio.TimerHandle | None = None
 
@@ -90,6 +95,43 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class is no subclass
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self.server.opened(self)
+        if self._taken_over is not None:
+            told, self._taken_over = self._taken_over, None
+            self.asked = told.asked
+            self.used_at = self.begun_at = self.server.loop.time() - told.waited
+            if told.held:
+                self._reader.feed(told.held)
+                self._take_commands()
+
+    @property
+    def taken_over(self) -> bool:
+        """Whether it comes from another process, and is not begun yet."""
+        return self._taken_over is not None
+
+    def hand_over(self, send: Callable[[Client, int], None], even_amid: bool) -> bool:
+        """Give the connection to another process, if nothing taken on it is unanswered.
+
+        `even_amid`: from now on nothing more is taken, so that it soon comes to that.
+        """
+        transport = self.transport
+        if transport is None or self.closed or self._last or self._linger is not None:
+            return False
+        if even_amid and not self._handing:
+            self._handing = True
+            self._set_reading()
+        if self.replies or self.blocked or transport.is_closing() or transport.get_write_buffer_size():
+            return False
+        held = self._reader.held
+        if len(held) > HELD_MOST:
+            return False
+        # Danger: bytes that came between the descriptor's copy and the close would be read here and lost.
+        # Nothing is read in between: both happen in one turn of the loop, and the copy keeps the socket up.
+        descriptor = os.dup(transport.get_extra_info("socket").fileno())
+        since = self.begun_at if self._reader.midway else self.used_at
+        told = Client(bytes(held), self.asked, max(self.server.loop.time() - since, 0.0))
+        self.abort()
+        send(told, descriptor)
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone; nothing more can be told to it."""
@@ -129,7 +171,7 @@
             return
         self._parsing = True
         try:
-            while not self._last and len(self.replies) < MAX_PIPELINE:
+            while not (self._last or self._handing) and len(self.replies) < MAX_PIPELINE:
                 words = self._reader.next()
                 if words is None:
                     break
@@ -215,7 +257,7 @@
 
     def _set_reading(self) -> None:
         # A connection at its end is read no more, but its end is noticed by the linger's limit.
-        wanted = not (self.blocked or self._last or len(self.replies) >= MAX_PIPELINE)
+        wanted = not (self.blocked or self._last or self._handing or len(self.replies) >= MAX_PIPELINE)
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
         self._reading = wanted
@@ -300,6 +342,9 @@
 
     def opened(self, connection: ClientConnection) -> None:
         """Make room for a new connection, by closing one that stands idle if need be."""
+        if connection.taken_over:  # the other process had room for it, and is about to end
+            self._connections[connection] = None
+            return
         # Danger: clients that only connect would leave no descriptors for servers, and none for new clients.
         if len(self._connections) >= self._limit:
             idle = self._spare()
@@ -336,12 +381,26 @@
         """Connections now."""
         return len(self._connections)
 
+    def set_limit(self, limit: int) -> None:
+        """Have room for so many connections; those there are stay."""
+        self._limit = limit
+
     def stop_accepting(self) -> None:
-        """Take no new connections, and close those there are between requests."""
+        """Take no new connections."""
         if self._listener is not None:
             self._listener.close()
             self._listener = None
-        self.finish(even_midway=False)
+
+    async def adopt(self, told: Client, descriptor: int) -> None:
+        """Take a connection over from another process."""
+        await self.loop.connect_accepted_socket(
+            lambda: ClientConnection(self, told), socket.socket(fileno=descriptor)
+        )
+
+    def hand_over(self, send: Callable[[Client, int], None], even_amid: bool) -> None:
+        """Give every connection that can be given to another process."""
+        for connection in list(self._connections):
+            connection.hand_over(send, even_amid)
 
     def finish(self, even_midway: bool) -> None:
         """Close connections between requests; also amid a command, if so told."""
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -109,8 +109,8 @@
         return resp.command(*words) if command.value is None else resp.command(*words, command.value)
 
     def written(self) -> None:
-        """Count what has gone to a cache server."""
-        self._host.figures.forwards += not self._to_origin
+        """Count what has gone out."""
+        self._host.figures.forwards += 1
 
     def ended(
         self,
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -7,10 +7,12 @@
 import signal
 import socket
 from dataclasses import replace
+from pathlib import Path
 
 from holdgw.operation.door import Door
 from holdgw.operation.listing import Listing
 from holdgw.operation.roster import Roster
+from holdgw.operation.takeover import Client, Hand, Takeover
 from holdgw.policy import ListKind
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.clients import ClientServer
@@ -38,12 +40,9 @@
     def __init__(self, config: Config, platform: Platform | None = None) -> None:
         self.config, self.platform = config, platform or Platform()
         self.loop = loop = asyncio.get_running_loop()
-        descriptors = max(config.sockets - OWN_DESCRIPTORS, 8)
-        for_clients = int(descriptors * CLIENT_SHARE)
+        for_clients, for_servers = self._descriptors(1)
         now = self.platform.monotonic_ns
-        self.pool = Pool(
-            loop, descriptors - for_clients, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S
-        )
+        self.pool = Pool(loop, for_servers, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S)
         self.host = RouterHost(loop, config.settings, config.seed, self.pool, config.max_open, now)
         self.clients = ClientServer(loop, self.host, for_clients)
         self.clock = Clock(now, self.platform.unix_ns)
@@ -54,14 +53,31 @@
         self.host.subscribe = self.discovery.subscribe
         self.roster = Roster(config.settings.origin_kind)
         self.door = Door(loop, self)
+        self.takeover = Takeover(
+            loop, lambda: self.roster.out, self._hand, self._adopt, self._processes_changed
+        )
+        self._adopting: dict[asyncio.Task[None], None] = {}
         self._leaving = False
 
+    def _descriptors(self, processes: int) -> tuple[int, int]:
+        """What clients and servers may hold, where so many processes share the router's descriptors."""
+        descriptors = max(self.config.sockets // processes - OWN_DESCRIPTORS, 8)
+        for_clients = int(descriptors * CLIENT_SHARE)
+        return for_clients, descriptors - for_clients
+
+    def _processes_changed(self) -> None:
+        for_clients, for_servers = self._descriptors(2 if self.takeover.linked else 1)
+        self.clients.set_limit(for_clients)
+        self.pool.set_limit(for_servers)
+
     def _take(self, listing: Listing) -> None:
         self.host.servers_changed(self.roster.take(listing))
-        self.host.ready = True
+        self._make_do()
 
     def _make_do(self) -> None:
-        self.host.ready = True
+        if not self.host.ready:
+            self.host.ready = True
+            self.takeover.ready()
 
     async def run(self, listening: asyncio.Future[Address] | None = None) -> None:
         """Serve until SIGTERM, and then until all that was taken is answered; tells where it listens."""
@@ -72,6 +88,8 @@
         )
         terminated = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, terminated.set)
+        if config.passed is not None and (folder := self.platform.environ.get("TMPDIR")):
+            await self.takeover.begin(Path(folder))
         if config.known is not None:
             known = read_listing(config.known, self.clock, ListKind.CACHED)
             self.discovery.know(known.generation)
@@ -90,6 +108,7 @@
         await self._drain()
         if make_do is not None:
             make_do.cancel()
+        self.takeover.close()
         self.door.close()
         self.clients.close()
         self.host.close()
@@ -99,7 +118,11 @@
 
     def tables(self) -> dict[str, int]:
         """How much each of the router's tables holds now, for tests of what is left behind."""
-        own = {"clients": self.clients.connected, "callers": self.door.callers}
+        own = {
+            "adopting": len(self._adopting),
+            "clients": self.clients.connected,
+            "callers": self.door.callers,
+        }
         return {**own, **self.host.tables(), **self.pool.tables()}
 
     # What operators call for at the door
@@ -115,16 +138,38 @@
 
     def leave_out(self, server_id: str) -> None:
         """Take a cache server out by hand; raises UnknownServerError."""
-        news = self.roster.leave_out(server_id, self.platform.monotonic_ns())
-        if news is not None:
-            self.host.servers_changed(news)
+        now = self.platform.monotonic_ns()
+        self._show(self.roster.leave_out(server_id, now))
+        self.takeover.tell(Hand(server_id, True, now))
 
     def use_again(self, server_id: str) -> None:
         """Use a cache server again; raises UnknownServerError."""
-        news = self.roster.use_again(server_id, self.platform.monotonic_ns())
+        now = self.platform.monotonic_ns()
+        self._show(self.roster.use_again(server_id, now))
+        self.takeover.tell(Hand(server_id, False, now))
+
+    def _show(self, news: Listing | None) -> None:
         if news is not None:
             self.host.servers_changed(news)
 
+    # What another process of this router says
+
+    def _hand(self, word: Hand) -> None:
+        if word.out:
+            self._show(self.roster.hold(word.server, word.at))
+        elif word.server in self.roster.out:
+            self._show(self.roster.use_again(word.server, word.at))
+
+    def _adopt(self, told: Client, descriptor: int) -> None:
+        task = self.loop.create_task(self.clients.adopt(told, descriptor))
+        self._adopting[task] = None
+        task.add_done_callback(self._adopted)
+
+    def _adopted(self, task: asyncio.Task[None]) -> None:
+        del self._adopting[task]
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("takeover: a connection is lost: %s", error)
+
     def _passed_socket(self) -> socket.socket | None:
         """The listening socket that the platform holds; raises OSError where it is none."""
         if self.config.passed is None:
@@ -156,15 +201,38 @@
         """Answer all that is taken, close clients' connections between requests, be done before the kill."""
         loop, clients = self.loop, self.clients
         begun = loop.time()
-        longest = max(cls.deadline for cls in self.config.settings.classes) / NS_PER_S
+        if self.takeover.successor is not None:
+            await self._hand_over(begun)
+            return
         # Danger: clients are sent here for a while yet, and what they send to a closed door is lost.
         await asyncio.sleep(ACCEPT_S)
         clients.stop_accepting()
-        while clients.connected and loop.time() < begun + longest + KILL_SLACK_S:
+        clients.finish(even_midway=False)
+        while clients.connected and loop.time() < begun + self._longest + KILL_SLACK_S:
             await asyncio.sleep(DRAIN_STEP_S)
             if loop.time() >= begun + MIDWAY_S:
                 clients.finish(even_midway=True)
 
+    async def _hand_over(self, begun: float) -> None:
+        """Give every client's connection to the successor, each once nothing taken on it is unanswered."""
+        loop, clients = self.loop, self.clients
+        clients.stop_accepting()  # the successor accepts on the same socket
+        due = begun + self._longest + KILL_SLACK_S
+        while clients.connected and loop.time() < due:
+            link = self.takeover.successor
+            if link is None:
+                clients.finish(even_midway=loop.time() >= begun + MIDWAY_S)
+            else:
+                clients.hand_over(link.send, even_amid=loop.time() >= begun + MIDWAY_S)
+            await asyncio.sleep(DRAIN_STEP_S)
+        while (link := self.takeover.successor) is not None and not link.sent and loop.time() < due:
+            await asyncio.sleep(DRAIN_STEP_S)
+
+    @property
+    def _longest(self) -> float:
+        """Seconds for which a client waits at most."""
+        return max(cls.deadline for cls in self.config.settings.classes) / NS_PER_S
+
 
 async def serve(
     config: Config, listening: asyncio.Future[Address] | None = None, platform: Platform | None = None
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -211,6 +211,13 @@
             self._retire(server)
             self._forget(server)
 
+    def set_limit(self, limit: int) -> None:
+        """Hold so many descriptors at most; idle connections past that are closed now."""
+        self._limit = limit
+        while self._held > limit and self._evict():
+            pass
+        self._feed_starved()
+
     def __contains__(self, server_id: str) -> bool:
         server = self._servers.get(server_id)
         return server is not None and server.open
--- a/holdgw/wire/resp.py
+++ b/holdgw/wire/resp.py
@@ -63,6 +63,11 @@
         if not self.broken:
             self._held += data
 
+    @property
+    def held(self) -> bytes:
+        """What is held: of a command under way, and of any whole ones not cut yet."""
+        return bytes(self._held[self._at :])
+
     @property
     def midway(self) -> bool:
         """Whether something of a command is held."""
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,344 @@
+"""A new process takes over from the old one: real processes on a passed socket, and the link alone."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+import uvloop
+
+from holdgw.operation.takeover import Client, Hand, Hello, Link, Message, Takeover
+from tests.helpers import S
+from tests.peers import LIMIT_S, Agent, Cache, command, entry, read
+from tests.test_operation import call, get, put
+
+HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+SERVED = b"$5\r\nvalue\r\n"
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    uvloop.run(asyncio.wait_for(test(), 3 * LIMIT_S))
+
+
+class Process:
+    """One process of the router, and the address of its door."""
+
+    def __init__(self, process: asyncio.subprocess.Process, ops: tuple[str, int]) -> None:
+        self.process, self.ops = process, ops
+
+    async def serving(self) -> None:
+        """Wait for the yes at the door."""
+        while True:
+            with contextlib.suppress(OSError):
+                if (await call(self.ops, get("/status"))).startswith(b"HTTP/1.1 200"):
+                    return
+            assert self.process.returncode is None
+            await asyncio.sleep(0.02)
+
+    async def ask(self, data: bytes) -> bytes:
+        return await call(self.ops, data)
+
+    async def ended(self) -> int:
+        return await asyncio.wait_for(self.process.wait(), LIMIT_S)
+
+
+class Stage:
+    """A listening socket held for the router, two caches and discovery; caches wait while held back."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.go = asyncio.Event()
+        self.go.set()
+        self.held = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.caches = [Cache(self._answer), Cache(self._answer)]
+        self.processes: list[Process] = []
+
+    async def _answer(self, _: list[bytes]) -> bytes:
+        await self.go.wait()
+        return HIT
+
+    async def begin(self) -> None:
+        for cache in self.caches:
+            await cache.start()
+        self.agent = Agent([entry(f"s{i}", cache.port) for i, cache in enumerate(self.caches)])
+        await self.agent.start()
+        classes = [{"name": "read", "aimNs": S, "giveUpNs": 5 * S, "semantics": "retryable"}]
+        (self.folder / "config.json").write_bytes(
+            orjson.dumps(
+                {
+                    "name": "n1",
+                    "listen": "127.0.0.1:1",
+                    "discovery": f"127.0.0.1:{self.agent.port}",
+                    "limits": {"sockets": 256},
+                    "settings": {"classes": classes},
+                }
+            )
+        )
+
+    async def start(self) -> Process:
+        with socket.create_server(("127.0.0.1", 0)) as found:
+            ops: tuple[str, int] = found.getsockname()
+        environ = {
+            "LB_CONFIG": str(self.folder / "config.json"),
+            "LB_OPS": f"127.0.0.1:{ops[1]}",
+            "LB_PASSED_SOCKET": str(self.held.fileno()),
+            "TMPDIR": str(self.folder),
+        }
+        started = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "holdgw.router", env=environ, cwd=ROOT, pass_fds=[self.held.fileno()]
+        )
+        process = Process(started, ops)
+        self.processes.append(process)
+        await asyncio.wait_for(process.serving(), LIMIT_S)
+        return process
+
+    async def dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*self.held.getsockname())
+
+    async def end(self) -> None:
+        for process in self.processes:
+            if process.process.returncode is None:
+                process.process.kill()
+            await process.ended()
+        self.agent.stop()
+        for cache in self.caches:
+            cache.stop()
+        self.held.close()
+
+
+@contextlib.asynccontextmanager
+async def stage(folder: Path) -> AsyncIterator[Stage]:
+    play = Stage(folder)
+    await play.begin()
+    try:
+        yield play
+    finally:
+        await play.end()
+
+
+async def served(reader: asyncio.StreamReader) -> None:
+    assert await asyncio.wait_for(reader.readexactly(len(SERVED)), LIMIT_S) == SERVED
+
+
+def test_clients_see_no_close_when_a_new_process_takes_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with stage(tmp_path) as play:
+            old = await play.start()
+            idle, amid, waiting, piped = [await play.dial() for _ in range(4)]
+            for number, (reader, writer) in enumerate((idle, amid, waiting, piped)):
+                writer.write(read(f"first{number}", f"k{number}"))
+                await served(reader)
+            new = await play.start()
+            play.go.clear()
+            half = read("amid", "k1")
+            amid[1].write(half[:30])
+            waiting[1].write(read("waiting", "k2", 4000))
+            piped[1].write(read("piped0", "k3", 4000) + read("piped1", "k4", 4000))
+            before = sum(len(cache.seen) for cache in play.caches)
+            while sum(len(cache.seen) for cache in play.caches) < before + 3 - 1:
+                await asyncio.sleep(0.01)
+            old.process.send_signal(signal.SIGTERM)
+            idle[1].write(read("idle", "k0", 4000))  # at whichever process it is by now
+            amid[1].write(half[30:])
+            late = await play.dial()
+            late[1].write(read("late", "k5", 4000))
+            play.go.set()
+            for reader, _ in (idle, amid, waiting, late, piped, piped):
+                await served(reader)
+            assert await old.ended() == 0
+            for number, (reader, writer) in enumerate((idle, amid, waiting, piped)):
+                writer.write(read(f"last{number}", f"k{number}"))
+                await served(reader)
+                writer.close()
+            assert b'disposition="succeeded"} ' in await new.ask(get("/status/metrics"))
+
+    run(test)
+
+
+def test_servers_out_by_hand_are_out_at_both_processes_and_after(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with stage(tmp_path) as play:
+            old = await play.start()
+            assert (await old.ask(put("/maintenance/enter", "s0"))).startswith(b"HTTP/1.1 200")
+            new = await play.start()
+            assert b"\nlb_ejected 1\n" in await new.ask(get("/status/metrics"))
+            assert (await old.ask(put("/maintenance/enter", "s1"))).startswith(b"HTTP/1.1 200")
+            while b"\nlb_ejected 2\n" not in await new.ask(get("/status/metrics")):
+                await asyncio.sleep(0.01)
+            assert (await new.ask(put("/maintenance/exit", "s0"))).startswith(b"HTTP/1.1 200")
+            while b"\nlb_ejected 1\n" not in await old.ask(get("/status/metrics")):
+                await asyncio.sleep(0.01)
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.ended() == 0
+            reader, writer = await play.dial()
+            for number in range(20):
+                writer.write(read(f"r{number}", f"k{number}"))
+                await served(reader)
+            assert [len(cache.seen) for cache in play.caches] == [20, 0]
+            writer.close()
+
+    run(test)
+
+
+def test_a_successor_that_dies_costs_the_old_process_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with stage(tmp_path) as play:
+            old = await play.start()
+            reader, writer = await play.dial()
+            writer.write(read("a"))
+            await served(reader)
+            new = await play.start()
+            new.process.kill()
+            await new.ended()
+            writer.write(read("b"))
+            await served(reader)
+            fresh = await play.dial()
+            fresh[1].write(read("c"))
+            await served(fresh[0])
+            third = await play.start()  # a path that a dead process left behind is no hindrance
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.ended() == 0
+            assert third.process.returncode is None
+            later = await play.dial()
+            later[1].write(read("d"))
+            await served(later[0])
+
+    run(test)
+
+
+def test_with_no_successor_connections_end_as_at_any_restart(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with stage(tmp_path) as play:
+            old = await play.start()
+            reader, writer = await play.dial()
+            writer.write(command(b"PING"))
+            assert await asyncio.wait_for(reader.readline(), LIMIT_S) == b"+PONG\r\n"
+            old.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(reader.read(), LIMIT_S) == b""
+            assert await old.ended() == 0
+            assert not (tmp_path / "holdgw.link").exists()
+
+    run(test)
+
+
+# The link alone
+
+
+class Ends:
+    """Both ends of a link, and what came of it."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.here, self.there = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self.there.setblocking(False)
+        self.taken: list[tuple[Message, int | None]] = []
+        self.lost = asyncio.Event()
+        self.link = Link(loop, self.here, self._take, lambda _: self.lost.set())
+
+    def _take(self, _: Link, message: Message, descriptor: int | None) -> None:
+        self.taken.append((message, descriptor))
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+@pytest.mark.parametrize("data", [b"noise", b"\x80", b"\x81\xa4type\xa7unknown"])
+def test_a_message_that_cannot_be_read_ends_the_link_and_keeps_no_descriptor(data: bytes) -> None:
+    async def test() -> None:
+        ends = Ends()
+        before = descriptors()
+        with open(os.devnull) as passed:
+            socket.send_fds(ends.there, [data], [passed.fileno()])
+        await asyncio.wait_for(ends.lost.wait(), LIMIT_S)
+        assert not ends.taken
+        assert descriptors() == before - 1  # the link's own
+        ends.there.close()
+
+    run(test)
+
+
+def test_connections_that_the_other_side_never_takes_are_closed_with_the_link() -> None:
+    async def test() -> None:
+        ends = Ends()
+        before = descriptors()
+        for _ in range(200):
+            passed = os.open(os.devnull, os.O_RDONLY)
+            ends.link.send(Client(b"x" * 4096, True, 0.0), passed)
+        assert not ends.link.sent
+        ends.link.close()
+        ends.there.close()
+        assert descriptors() <= before - 2
+
+    run(test)
+
+
+def test_words_go_on_from_one_process_to_the_others_but_not_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        heard: dict[str, list[str]] = {name: [] for name in "abc"}
+        changed = asyncio.Event()
+
+        def takeover(name: str) -> Takeover:
+            def hand(word: Hand) -> None:
+                heard[name].append(word.server)
+                changed.set()
+
+            return Takeover(
+                loop, lambda: {f"out-{name}": 1}, hand, lambda told, fd: os.close(fd), lambda: None
+            )
+
+        first, second, third = (takeover(name) for name in "abc")
+        for process in (first, second, third):
+            await process.begin(tmp_path)
+        assert heard["b"] == ["out-a"]
+        assert heard["c"] == ["out-b"]
+        third.tell(Hand("s", True, 5))
+        while "s" not in heard["a"]:
+            changed.clear()
+            await asyncio.wait_for(changed.wait(), LIMIT_S)
+        assert (heard["a"], heard["b"], heard["c"]) == (["s"], ["out-a", "s"], ["out-b"])
+        for process in (first, second, third):
+            process.close()
+        assert not list(tmp_path.iterdir())
+
+    run(test)
+
+
+def test_an_elder_that_says_nothing_is_not_waited_for_for_ever(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("holdgw.operation.takeover.MET_S", 0.05)
+
+    async def test() -> None:
+        stuck = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        stuck.bind(str(tmp_path / "holdgw.link"))
+        stuck.listen()
+        process = Takeover(
+            asyncio.get_running_loop(), dict, lambda word: None, lambda told, fd: None, lambda: None
+        )
+        await process.begin(tmp_path)
+        assert process.linked
+        assert process.successor is None
+        assert msg(stuck) == Hello(1)
+        process.close()
+        stuck.close()
+
+    def msg(stuck: socket.socket) -> Message:
+        import msgspec
+
+        peer, _ = stuck.accept()
+        with peer:
+            return msgspec.msgpack.decode(peer.recv(1000), type=Message)
+
+    run(test)
