Long values are passed on as they come, from caches and the origin, with back-pressure

Cause: values over 64 KiB were taken for spoilt and asked for four times (250 of them in 22 s at one router); lengths with spaces behind them and bodies that end with an announced close were refused (RFC 9110 5.5, RFC 9112 6.3).

The change: an answer's value over 64 KiB goes to its client part by part; what a client doesn't take pauses the server's side. From its first bytes on no deadline ends it; 8 s without a byte do, on either side. Bodies without a length are held within an eighth of memory. The module hears StreamStarted: a value under way is no load, and frees its key's flight.

--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -284,7 +284,7 @@
         self.ran: tuple[Node, int] | None = None  # the first attempt that may have run: where, when sent
         self.spared = False  # has been asked for again after an answer that stayed out
         self.patience = 0  # after which the attempt that is out counts as lost; 0: not at all
-        self.fetching = self.out = self.leads = self.waiting = self.done = False
+        self.fetching = self.out = self.leads = self.waiting = self.done = self.streams = False
 
     def may_send(self, node: Node, now: int) -> bool:
         """Rule 2: what may have run goes out again only where and while its repeat is dropped."""
@@ -351,6 +351,8 @@
                 self._arrived(event)
             case api.ServersChanged():
                 self._servers_changed(event)
+            case api.StreamStarted() if event.request in self._requests:
+                self._stream_started(self._requests[event.request])
             case api.TimerFired():
                 self._timer(event.token)
             case api.ClientGone() if event.request in self._requests:
@@ -541,13 +543,26 @@
         request.fetching = True
         self._send(request, origins[0])
 
+    def _stream_started(self, request: Request) -> None:
+        """The server has done its work; how long the value takes from here is the client's and the line's.
+
+        Danger: a client that reads slowly would count as load of its server, and of the origin, for seconds,
+        and those who wait for the same key's fetch would wait for its last byte too.
+        """
+        if request.node is not None and request.out and not request.streams:
+            request.streams = True
+            request.node.load -= 1
+            if request.leads:
+                self._land(request, stored=True)
+
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         request = self._requests.get(event.request)
         if request is None or request.node is None:
             return
         node, fetched, outcome = request.node, request.fetching, event.outcome
         request.out = request.fetching = False
-        node.load -= 1
+        node.load -= not request.streams
+        request.streams = False
         took = event.latency - event.waited
         late = took > request.cls.aim
         # Danger: the first request on a connection bears the cost of setting it up, most of all across zones.
--- a/holdgw/router/caches.py
+++ b/holdgw/router/caches.py
@@ -8,7 +8,7 @@
 
 from holdgw.policy import CacheNote, Outcome
 from holdgw.router.upstream import Connection, Server
-from holdgw.wire.resp import MAX_VALUE
+from holdgw.wire.resp import LONGEST_VALUE, MAX_VALUE
 
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-3]\r\n\$(\d{1,8})\r\n")
@@ -25,6 +25,8 @@
         self._reader = hiredis.Reader()
         self._buffer = bytearray()  # of an answer with a value, until the value is whole
         self._value: bytes | None = None
+        self._left = 0  # bytes of a long value that are still to come, and its end
+        self._elements = b""  # the beginning of an answer whose value is passed on
         self._plain = False  # what comes goes to hiredis
         self._came = 0  # bytes that hiredis was given
 
@@ -32,7 +34,11 @@
         """Cut out the value by its length, strictly; hiredis reads what stands around it."""
         # Danger: hiredis believes any length, holds all that comes for it, and does not look whether a
         # value ends where it should: a wrong length would serve a part of it, or eat what follows.
-        if not self._plain:
+        if self._left:
+            data = self._pass_on(data)
+            if self._left or not data:
+                return
+        elif not self._plain:
             self._buffer += data
             rest = self._cut()
             if rest is None:
@@ -54,9 +60,15 @@
                 self.spoil("sent an answer with a broken header")
             return None
         start, length = header.end(), int(header[1])
-        if length > MAX_VALUE:
+        if length > LONGEST_VALUE:
             self.spoil("sent a value that is too long")
             return None
+        if length > MAX_VALUE:
+            first, self._elements = bytes(held[start:]), bytes(held[:4])
+            held.clear()
+            self._left = length + 2
+            self.value_begins(length)
+            return self._pass_on(first) or None
         end = start + length
         if len(held) < end + 2:
             return None
@@ -66,6 +78,23 @@
         self._value = bytes(held[start:end])
         return b"%b$0\r\n\r\n%b" % (bytes(held[:4]), bytes(held[end + 2 :]))
 
+    def _pass_on(self, data: bytes) -> bytes:
+        """Pass a part of a long value on; returns what hiredis shall read, once all of it has come."""
+        size = min(len(data), max(self._left - 2, 0))
+        if size and self.exchange is not None:
+            self.exchange.value_part(data[:size])
+        self._left -= size
+        self._buffer += data[size:]
+        if self.exchange is None or self._left > 2 or len(self._buffer) < 2:
+            return b""
+        if self._buffer[:2] != b"\r\n":
+            self.spoil("sent a value of another length than it says")
+            return b""
+        rest, self._left, self._plain = bytes(self._buffer[2:]), 0, True
+        self._buffer.clear()
+        self.exchange.value_whole()
+        return b"%b$0\r\n\r\n%b" % (self._elements, rest)
+
     def _read(self) -> None:
         try:
             answer = self._reader.gets()
@@ -86,7 +115,7 @@
         elif isinstance(answer, list) and 1 <= len(answer) <= 3 and isinstance(answer[0], bytes | None):
             note = answer[1] if len(answer) > 1 else None
             report = answer[2] if len(answer) > 2 and isinstance(answer[2], bytes) else None
-            outcome = Outcome.MISS if value is None else Outcome.OK
+            outcome = Outcome.OK if value is not None or self.streaming else Outcome.MISS
             self.finish(outcome, value, _NOTES.get(note) if isinstance(note, bytes) else None, report)
         elif isinstance(answer, bytes) and self.exchange is not None and self.exchange.is_probe:
             self.finish(Outcome.OK, None, None, answer)
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -18,6 +18,7 @@
 MAX_PIPELINE = 256  # commands of one connection without an answer; more are left unread
 HIGH_WATER = 64 << 10  # bytes that the kernel did not take, past which nothing more is read for a client
 COMMAND_S = 2.3  # in which a command must be whole, and a new connection's first; 3 s are owed
+STREAM_STALL_S = 8.0  # the same in a long value: clients take seconds to read one
 STALL_S = 3.0  # in which a client must take something of what waits for it
 IDLE_MANY_S = 2.2  # a connection between requests may be closed after 2 s; so are they where they are many
 IDLE_FEW_S = 30.0  # and where they are few
@@ -46,21 +47,102 @@
         """The client that waits for this reply has left."""
 
 
+class Source(Protocol):
+    """Where a long answer comes from."""
+
+    def pause(self) -> None:
+        """Give no more for now."""
+
+    def resume(self) -> None:
+        """Give again."""
+
+
 class Reply:
     """The place of one answer among those of its connection."""
 
-    __slots__ = ("_connection", "data", "request")
+    __slots__ = ("_connection", "_parts", "_source", "_whole", "begun", "data", "request")
 
     def __init__(self, connection: ClientConnection) -> None:
         self._connection = connection
         self.data: bytes | None = None  # the answer, once there is one
         self.request: Any = None  # the host's
+        self.begun = False  # some of the answer is written
+        self._parts: deque[bytes] | None = None  # of a long answer, what is not written yet
+        self._whole = False
+        self._source: Source | None = None
 
     def send(self, data: bytes) -> None:
         """Give the answer."""
         self.data = data
         self._connection.flush()
 
+    # A long answer, in parts
+
+    def begin(self, head: bytes, source: Source) -> None:
+        """Begin a long answer, whose parts come from there."""
+        self._parts, self._source = deque((head,)), source
+        self._connection.flush()
+
+    def part(self, data: bytes) -> None:
+        """Give a part of it."""
+        if self._parts is None:
+            return
+        self._parts.append(data)
+        self._connection.flush()
+        # Danger: what a client does not take would pile up here, value by value, until memory is full.
+        waiting = sum(map(len, self._parts or ()))
+        if self._source is not None and (waiting > HIGH_WATER or self._connection.blocked):
+            self._source.pause()
+
+    def finish(self, tail: bytes) -> None:
+        """Give the end of it."""
+        if self._parts is not None:
+            self._parts.append(tail)
+            self._whole = True
+            self._connection.flush()
+
+    def break_off(self, error: bytes) -> None:
+        """The rest of it won't come: the client must be able to tell."""
+        self._source = None
+        if self._parts is None:
+            return
+        if self.begun:
+            self._connection.break_off()
+        else:
+            self._parts = None
+            self.send(error)
+
+    @property
+    def ready(self) -> bool:
+        """Whether something of it can be written, or it is at its end."""
+        return self.data is not None or bool(self._parts)
+
+    def write(self, transport: asyncio.Transport, connection: ClientConnection) -> bool:
+        """Write what there is, as far as the client takes it; returns whether that was the last of it."""
+        if self._parts is None:
+            transport.write(self.data or b"")
+            return True
+        while self._parts and not connection.blocked:
+            self.begun = True
+            transport.write(self._parts.popleft())
+        if self._parts or connection.blocked:
+            return False
+        if not self._whole:
+            if self._source is not None:
+                self._source.resume()
+            return False
+        return True
+
+    @property
+    def long(self) -> bool:
+        """Whether it is a long answer, under way."""
+        return self._parts is not None
+
+    def abandon(self) -> bool:
+        """The client has gone; returns whether its answer was still owed, or under way."""
+        source, self._source, self._parts = self._source, None, None
+        return self.data is None or source is not None
+
     def fail(self, fault: str) -> None:
         """Answer what is no request; its sender is not listened to any further."""
         # Danger: one who sends what can't be used goes on, at full speed, and each command costs the time
@@ -152,7 +234,7 @@
         self.server.closed(self)
         replies, self.replies = self.replies, deque()
         for reply in replies:
-            if reply.data is None:
+            if reply.abandon():
                 self.server.host.client_gone(reply)
 
     def data_received(self, data: bytes) -> None:
@@ -220,10 +302,11 @@
     def flush(self) -> None:
         """Write the answers whose turn it is."""
         replies = self.replies
-        while replies and replies[0].data is not None:
-            data = replies.popleft().data
-            if self.transport is not None and data is not None:
-                self.transport.write(data)
+        while replies and self.transport is not None and (replies[0].ready or replies[0].long):
+            if not replies[0].write(self.transport, self):
+                break
+            if replies:  # a write that fails may have ended the connection
+                replies.popleft()
         if self.transport is None or self._parsing:
             return
         if self._last:
@@ -235,6 +318,15 @@
         if self._closing and self.idle:
             self.transport.close()
 
+    def break_off(self) -> None:
+        """An answer that is begun can't be finished: close behind what is written of it."""
+        # Danger: the client would take the next answer's bytes for the rest of this one's. What it has asked
+        # for behind it is lost with the connection; there is no place for its answers any more.
+        self._last = True
+        if self.transport is not None:
+            self.transport.close()
+        self._leave()
+
     def _end(self) -> None:
         """Close in good order: the other side may still be sending."""
         if self.transport is None or self._linger is not None or self.transport.is_closing():
@@ -254,6 +346,7 @@
         """The client takes again."""
         self.blocked = False
         self._set_reading()
+        self.flush()
 
     def _set_reading(self) -> None:
         # A connection at its end is read no more, but its end is noticed by the linger's limit.
@@ -304,7 +397,8 @@
             size = self.transport.get_write_buffer_size()
             if size != self._unsent:
                 self._unsent, self.used_at = size, now
-            if now - self.used_at > STALL_S:
+            streams = bool(self.replies) and self.replies[0].long
+            if now - self.used_at > (STREAM_STALL_S if streams else STALL_S):
                 log.warning("a client takes nothing of its answer")
                 self.abort()
         elif self.replies or self._last:
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -31,6 +31,7 @@
     ServerState,
     SetTimer,
     Settings,
+    StreamStarted,
     Subscribe,
     TimerFired,
 )
@@ -45,6 +46,7 @@
 
 NS_PER_MS = 1_000_000
 SWEEP_S = 0.02
+STREAM_STALL_S = 8.0  # in which a server must give something of a long value
 OVERDUE_NS = 10 * NS_PER_MS  # past its deadline, after which a request is answered whatever the module does
 TIMER_STEP_S = 0.001  # the loop rounds delays to the nearest one
 FAILED = b"-ERR failed\r\n"
@@ -58,13 +60,14 @@
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
-    __slots__ = ("attempts", "closed", "cls", "command", "deadline", "id", "out", "reply")
+    __slots__ = ("attempts", "closed", "cls", "command", "deadline", "id", "out", "reply", "stream")
 
     def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int) -> None:
         self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
         self.cls = command.fields["c"]
         self.attempts = self.out = 0
         self.closed = False
+        self.stream: Attempt | None = None  # passes a long value on; the answer is begun
 
 
 class Attempt(Exchange):
@@ -75,6 +78,8 @@
         self._number = request.attempts
         self._sent_at = host.now()
         self._written_at = 0  # 0: not yet
+        self._began_at = self._moved_at = 0  # a long value, and when the last of it came
+        self._paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
         request.attempts += 1
@@ -108,6 +113,70 @@
         words = [command.name, command.key, command.id, command.info_with(left)]
         return resp.command(*words) if command.value is None else resp.command(*words, command.value)
 
+    # A long value
+
+    def value_begins(self, length: int) -> None:
+        """From here on the answer is the client's, as it comes: no deadline of ours ends it."""
+        request = self._request
+        if request.closed:
+            self.give_up(Outcome.CANCELLED)  # nobody wants megabytes that are on their way
+            return
+        self._stop_timers()
+        self._began_at = self._moved_at = self._host.now()
+        self._timer = self._host.loop.call_later(STREAM_STALL_S, self._look_if_stalled)
+        request.closed, request.stream = True, self
+        self._host.tell(StreamStarted(request.id, self._number))
+        request.reply.begin(resp.bulk_head(length), self)
+
+    def value_part(self, data: bytes) -> None:
+        """Pass a part on."""
+        self._moved_at = self._host.now()
+        if self._request.stream is self:
+            self._request.reply.part(data)
+
+    def value_whole(self) -> None:
+        """The client has all of it."""
+        self._end_stream(whole=True)
+
+    def _end_stream(self, whole: bool) -> None:
+        request = self._request
+        if request.stream is not self:
+            return
+        request.stream = None
+        self._host.figures.ended(request.cls, Disposition.SUCCEEDED if whole else Disposition.ABORTED)
+        if whole:
+            request.reply.finish(b"\r\n")
+        else:
+            request.reply.break_off(FAILED)
+
+    def _look_if_stalled(self) -> None:
+        if self._paused:
+            self._moved_at = self._host.now()  # it is the client who takes nothing, and its side sees to that
+        left = STREAM_STALL_S - (self._host.now() - self._moved_at) / NS_PER_S
+        if left <= 0:
+            self.give_up(Outcome.TIMEOUT)
+        else:
+            self._timer = self._host.loop.call_later(left + TIMER_STEP_S, self._look_if_stalled)
+
+    def pause(self) -> None:
+        """The client takes no more for now."""
+        self._paused = True
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """The client takes again."""
+        if self._paused:
+            self._paused, self._moved_at = False, self._host.now()
+            if self.connection is not None:
+                self.connection.resume()
+
+    def _stop_timers(self) -> None:
+        for timer in (self._timer, self._write_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._write_timer = None
+
     def written(self) -> None:
         """Count what has gone out."""
         self._host.figures.forwards += 1
@@ -120,10 +189,8 @@
         report: bytes | None = None,
     ) -> None:
         """The first OK is the client's answer; the module is told of every end."""
-        if self._timer is not None:
-            self._timer.cancel()
-        if self._write_timer is not None:
-            self._write_timer.cancel()
+        self._stop_timers()
+        self._end_stream(whole=False)
         request, reply = self._request, self._request.reply
         request.out -= 1
         if outcome is Outcome.OK and not request.closed and value is not None:
@@ -137,7 +204,7 @@
             self._server,
             outcome,
             request.closed,
-            latency=now - self._sent_at,
+            latency=(self._began_at or now) - self._sent_at,
             note=note,
             load=self._host.load(report),
             waited=(self._written_at or now) - self._sent_at,
@@ -301,7 +368,7 @@
     @property
     def outstanding(self) -> int:
         """Requests taken that have no final answer yet."""
-        return sum(not request.closed for request in self._requests.values())
+        return sum(not r.closed or r.stream is not None for r in self._requests.values())
 
     def avoided(self) -> list[str]:
         """The cache servers that the module leaves out by choice."""
@@ -328,6 +395,9 @@
         request.closed = True
         self.settle(request)
         self.tell(ClientGone(request.id))
+        if request.stream is not None:
+            stream, request.stream = request.stream, None
+            stream.give_up(Outcome.CANCELLED)  # there is nobody to take the rest
 
     def settle(self, request: OpenRequest) -> None:
         """Forget a request that is answered and has nothing out."""
--- a/holdgw/router/origin.py
+++ b/holdgw/router/origin.py
@@ -5,7 +5,7 @@
 from holdgw.policy import Outcome
 from holdgw.router.upstream import Connection, Server
 from holdgw.wire.http import HttpError, HttpReader
-from holdgw.wire.resp import MAX_VALUE
+from holdgw.wire.resp import LONGEST_VALUE, MAX_VALUE
 
 _NEVER_RAN = (503, 504)
 
@@ -15,7 +15,35 @@
 
     def __init__(self, server: Server) -> None:
         Connection.__init__(self, server)
-        HttpReader.__init__(self, MAX_VALUE)
+        HttpReader.__init__(self, MAX_VALUE, LONGEST_VALUE)
+        self._held = 0  # bytes taken of the pool's room for bodies without a length
+
+    def body_begins(self, length: int) -> None:
+        """A long value begins."""
+        self.value_begins(length)
+
+    def body_part(self, data: bytes) -> None:
+        """A part of a long value came."""
+        if self.exchange is not None:
+            self.exchange.value_part(data)
+
+    def room_for(self, size: int) -> bool:
+        """RESP2 needs a value's length first, so a body that tells none is held until it is whole."""
+        if not self.server.pool.hold(size):
+            return False
+        self._held += size
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The end of the connection may be the end of the body."""
+        if exc is None and self.exchange is not None and self.ended():
+            self._take_answer()
+        self._let_go()
+        super().connection_lost(exc)
+
+    def _let_go(self) -> None:
+        self.server.pool.let_go(self._held)
+        self._held = 0
 
     def answer_came(self, data: bytes) -> None:
         """Read a part of the answer."""
@@ -24,12 +52,17 @@
         except HttpError as error:
             self.spoil(f"broke the protocol: {error}")
             return
-        if not whole:
-            return
+        if whole and self.exchange is not None:
+            self._take_answer()
+
+    def _take_answer(self) -> None:
         status, report = self.status, self.headers.get(b"server-load")
         not_started = self.headers.get(b"not-started") == b"1"
         value = bytes(self.body)
+        self._let_go()
         self.retired = not self.answer_done() or self.retired
+        if self.streaming and self.exchange is not None:
+            self.exchange.value_whole()
         if status == 200:
             self.finish(Outcome.OK, value, None, report)
         elif status in _NEVER_RAN and not_started:
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -29,6 +29,7 @@
 KILL_SLACK_S = 0.65  # beyond the longest deadline; SIGKILL comes no sooner than 0.7 s
 DRAIN_STEP_S = 0.01
 OWN_DESCRIPTORS = 32  # standard streams, the listeners, the event loop, discovery, callers at the door
+LONG_VALUES_PART = 8  # of memory, for long values that can't be passed on as they come
 CLIENT_SHARE = 0.5  # of the other descriptors: clients' requests hold a third of all at most
 
 log = logging.getLogger("holdgw")
@@ -42,7 +43,13 @@
         self.loop = loop = asyncio.get_running_loop()
         for_clients, for_servers = self._descriptors(1)
         now = self.platform.monotonic_ns
-        self.pool = Pool(loop, for_servers, config.dial_timeout / NS_PER_S, config.idle_close / NS_PER_S)
+        self.pool = Pool(
+            loop,
+            for_servers,
+            config.dial_timeout / NS_PER_S,
+            config.idle_close / NS_PER_S,
+            config.memory // LONG_VALUES_PART,
+        )
         self.host = RouterHost(loop, config.settings, config.seed, self.pool, config.max_open, now)
         self.clients = ClientServer(loop, self.host, for_clients)
         self.clock = Clock(now, self.platform.unix_ns)
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -15,6 +16,7 @@
 PER_SERVER = 16  # connections to one server: more than it works on at a time, so that a jam waits here
 IDLE_SHARE = 0.6  # of the server's idle limit: well before it, for a request that crosses its close is lost
 SWEEP_S = 0.5
+STREAM_BUFFER = 64 << 10  # bytes of a long value that the kernel may take in, which it doubles
 LATE_NOTICE_S = 0.02  # a timer this late means that the loop was held up, and news may wait in the kernel
 
 log = logging.getLogger("holdgw")
@@ -36,6 +38,15 @@
     def request_bytes(self, address: Address) -> bytes:
         """Write the request down; called when the connection for it is at hand."""
 
+    def value_begins(self, length: int) -> None:
+        """A value follows that is too long to be held; its parts come as the server gives them."""
+
+    def value_part(self, data: bytes) -> None:
+        """A part of that value came."""
+
+    def value_whole(self) -> None:
+        """All of that value has come."""
+
     @abstractmethod
     def ended(
         self,
@@ -79,6 +90,8 @@
         self.unsent = False  # the kernel has not taken the last byte of the request yet
         self.retired = False
         self._used = False
+        self.streaming = False  # passes a long value on
+        self._paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -109,6 +122,31 @@
         if not self.unsent:
             exchange.written()
 
+    def value_begins(self, length: int) -> None:
+        """The answer's value is too long to be held: from here on the exchange has it as it comes."""
+        assert self.transport is not None
+        if self.exchange is None:
+            return
+        # Danger: the kernel would take in megabytes of each value, and one read give a quarter of one. It
+        # could do harm to throughput over long lines; these are short.
+        self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, STREAM_BUFFER)
+        self.streaming = True
+        self.server.pool.streams(self)
+        self.exchange.value_begins(length)
+
+    def pause(self) -> None:
+        """Read no more for now: what has come is not taken."""
+        if not self._paused and self.usable and self.transport is not None:
+            self._paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._paused:
+            self._paused = False
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
         self.retired = True
@@ -124,6 +162,7 @@
     ) -> None:
         """End the exchange by a whole answer, and go back to the pool."""
         exchange, self.exchange = self.exchange, None
+        self.resume()
         self.server.pool.released(self)
         if exchange is not None:
             exchange.end(outcome, value, note, report)
@@ -171,6 +210,7 @@
         self.idle: list[Connection] = []  # the one used last at the end: spares grow old and are retired
         self.connections: dict[Connection, None] = {}
         self.dials: dict[asyncio.Task[None], None] = {}
+        self.streams: dict[Connection, None] = {}  # those of the connections that pass long values on
         self.waiting: deque[Exchange] = deque()
 
     @property
@@ -178,17 +218,29 @@
         """Connections that are up or being dialled."""
         return len(self.connections) + len(self.dials)
 
+    @property
+    def at_work(self) -> int:
+        """Those of them that count towards the most: a long value may take a slow client seconds."""
+        return self.held - len(self.streams)
+
 
 class Pool:
     """Deals exchanges out to connections, within the share of descriptors that servers have."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, limit: int, dial_timeout: float, idle_close: float
+        self,
+        loop: asyncio.AbstractEventLoop,
+        limit: int,
+        dial_timeout: float,
+        idle_close: float,
+        room: int = 8 << 20,
     ) -> None:
+        """`limit`: descriptors; times in seconds; `room`: bytes of long values that may be held."""
         self._loop, self._limit, self._dial_timeout = loop, limit, dial_timeout
         self._idle_limit = idle_close * IDLE_SHARE
         self._servers: dict[str, Server] = {}
         self._held = 0  # descriptors: connections and dials
+        self._room, self._held_bytes = room, 0
         self._starved: dict[Server, None] = {}  # those for whose waiters there was no descriptor
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
@@ -211,6 +263,22 @@
             self._retire(server)
             self._forget(server)
 
+    def streams(self, connection: Connection) -> None:
+        """A connection begins to pass a long value on: it no longer keeps another from being dialled."""
+        connection.server.streams[connection] = None
+        self._dial_for(connection.server)
+
+    def hold(self, size: int) -> bool:
+        """Take so many bytes of the room for long values that can't be passed on as they come."""
+        if self._held_bytes + size > self._room:
+            return False
+        self._held_bytes += size
+        return True
+
+    def let_go(self, size: int) -> None:
+        """Give room back."""
+        self._held_bytes -= size
+
     def set_limit(self, limit: int) -> None:
         """Hold so many descriptors at most; idle connections past that are closed now."""
         self._limit = limit
@@ -245,6 +313,8 @@
     def released(self, connection: Connection) -> None:
         """A connection has its answer: it takes what waits, or rests."""
         server = connection.server
+        connection.streaming = False
+        server.streams.pop(connection, None)
         if not connection.usable:
             connection.close()
             return
@@ -263,6 +333,7 @@
         if connection not in server.connections:
             return
         server.connections.pop(connection, None)
+        server.streams.pop(connection, None)
         self._held -= 1
         if connection in server.idle:
             server.idle.remove(connection)
@@ -281,6 +352,8 @@
             "waiting": sum(len(server.waiting) for server in servers),
             "descriptors_counted": self._held,
             "starved": len(self._starved),
+            "streams": sum(len(server.streams) for server in servers),
+            "bytes_held": self._held_bytes,
         }
 
     def _feed_starved(self) -> None:
@@ -303,7 +376,7 @@
     def _dial_for(self, server: Server) -> None:
         while server.waiting and server.waiting[0].over:
             server.waiting.popleft()
-        while len(server.waiting) > len(server.dials) and server.held < PER_SERVER:
+        while len(server.waiting) > len(server.dials) and server.at_work < PER_SERVER:
             # Danger: without a bound of their own, connections to servers starve clients of descriptors.
             if self._held >= self._limit and not self._evict():
                 self._starved[server] = None
--- a/holdgw/wire/http.py
+++ b/holdgw/wire/http.py
@@ -15,12 +15,26 @@
 
 
 class HttpReader:
-    """Reads the answers of one connection, each with a body of at most so many bytes."""
+    """Reads the answers of one connection, each with a body of at most so many bytes.
 
-    def __init__(self, most: int) -> None:
-        self._most = most
+    A longer body, of at most `longest` bytes and a stated length, is given to `body_begins` and `body_part`
+    as it comes, where those are overridden; one whose length nobody stated can only be held.
+    """
+
+    def __init__(self, most: int, longest: int = 0) -> None:
+        self._most, self._longest = most, max(longest, most)
         self._next_answer()
 
+    def body_begins(self, length: int) -> None:
+        """A body follows that is too long to be held."""
+
+    def body_part(self, data: bytes) -> None:
+        """A part of that body came."""
+
+    def room_for(self, size: int) -> bool:
+        """Whether so many bytes more of a body may be held past the usual most."""
+        return False
+
     def _next_answer(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self.headers: dict[bytes, bytes] = {}
@@ -29,6 +43,8 @@
         self._head = 0
         self._length: int | None = None
         self._in_body = self._whole = self._more = False
+        self._passed_on: int | None = None  # bytes of a long body so far
+        self._to_end = False  # the body ends with the connection
 
     def read(self, data: bytes) -> bool:
         """Take bytes; returns whether an answer is whole. Raises HttpError on broken ones."""
@@ -49,6 +65,15 @@
             raise HttpError("head too long")
         return self._whole
 
+    def ended(self) -> bool:
+        """The connection ended in good order; returns whether that ends an answer, which is whole then."""
+        # RFC 9112, section 6.3: with neither a length nor chunks the close ends the body. Danger: a body cut
+        # short looks whole; so it must have announced the close, and a reset is none.
+        if self._to_end and not self._whole:
+            self._whole = self._more = True
+            return True
+        return False
+
     def answer_done(self) -> bool:
         """Make ready for the next answer; returns whether the connection may serve one."""
         keep = not self._more and self._keep
@@ -59,7 +84,7 @@
         """Called by httptools."""
         if self._whole:
             return
-        name = name.lower()
+        name, value = name.lower(), value.strip(b" \t")  # RFC 9110, section 5.5
         if name == b"content-length" and self.headers.get(name, value) != value:
             raise HttpError("two lengths")
         self.headers[name] = value
@@ -74,21 +99,31 @@
         self._in_body = True
         length = self.headers.get(b"content-length")
         if length is not None:
-            if not length.isdigit() or int(length) > self._most:
+            if not length.isdigit() or int(length) > self._longest:
                 raise HttpError("a length out of bounds")
             self._length = int(length)
+            if self._length > self._most:
+                if self.status != 200:
+                    raise HttpError("a length out of bounds")
+                self._passed_on = 0
+                self.body_begins(self._length)
         elif self.status != 200:
             self._whole = self._more = True  # it says all that it has to
         elif b"chunked" not in self.headers.get(b"transfer-encoding", b"").lower():
-            # Danger: such a body ends with the connection, and one that was cut short looks whole.
-            raise HttpError("no length")
+            if b"close" not in self.headers.get(b"connection", b"").lower():
+                raise HttpError("no length")
+            self._to_end = True
 
     def on_body(self, data: bytes) -> None:
         """Called by httptools."""
         if self._whole:
             return
+        if self._passed_on is not None:
+            self._passed_on += len(data)
+            self.body_part(data)
+            return
         self.body += data
-        if len(self.body) > self._most:
+        if len(self.body) > self._most and not (len(self.body) <= self._longest and self.room_for(len(data))):
             raise HttpError("body too long")
 
     def on_message_begin(self) -> None:
@@ -104,7 +139,8 @@
             self.headers.clear()
             self.status = 0
             return
-        if self._length is not None and len(self.body) != self._length:
+        came = len(self.body) if self._passed_on is None else self._passed_on
+        if self._length is not None and came != self._length:
             raise HttpError("a body of another length than it says")
         self._keep = self._parser.should_keep_alive()
         self._whole = True
--- a/holdgw/wire/resp.py
+++ b/holdgw/wire/resp.py
@@ -10,7 +10,8 @@
 import re
 from dataclasses import dataclass
 
-MAX_VALUE = 64 << 10  # PROTOCOL: values hold at most 64 KiB
+MAX_VALUE = 64 << 10  # what is held whole; a longer value is passed on as it comes
+LONGEST_VALUE = 16 << 20  # past which a length is no length; the longest values in use have 4 MiB
 MAX_PARTS = 5  # a KV.SET's
 MAX_WORD = 4 << 10  # all words of a command but its value together: far more than any has
 MAX_HEADER = 16  # a length line: its mark, digits and end
@@ -174,6 +175,11 @@
     return bool(word) and word.isascii() and word.decode("ascii").isprintable()
 
 
+def bulk_head(length: int) -> bytes:
+    """Begin a bulk string of so many bytes; CRLF ends it."""
+    return b"$%d\r\n" % length
+
+
 def bulk(value: bytes) -> bytes:
     """Encode one bulk string."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
