What a router has learnt goes to the process that takes its place

The change: Router.learnt and learn: servers' chance, pace and share, tenants' limits and windows, heat, the origin's time and width, in messages of bounded size over the takeover's link, taken once there is a list.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -53,7 +53,8 @@
                 "holdgw.router.upstream",
                 "        exchange, self.exchange = self.exchange, None\n"
                 "        self.resume()\n        self.server.pool.released(self)",
-                "        exchange = self.exchange\n        self.resume()\n        self.server.pool.released(self)",
+                "        exchange = self.exchange\n"
+                "        self.resume()\n        self.server.pool.released(self)",
             ),
             ("holdgw.router.upstream", "        if not self.over:\n", "        if True:\n"),
         ),
--- a/holdgw/operation/takeover.py
+++ b/holdgw/operation/takeover.py
@@ -13,20 +13,28 @@
 import os
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
+from dataclasses import replace
+from itertools import islice
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 
+from holdgw.policy import Learnt
+
 VERSION = 1
 NAME = "holdgw.link"
 HELD_MOST = 32 << 10  # bytes of a command under way that go with a connection; a longer one is waited for
 MESSAGE_MOST = HELD_MOST + (64 << 10)  # a word of another kind: thousands of ids
 MET_S = 1.0  # the elder tells what it has in so long, or is taken for stuck
 LINKS_MOST = 4  # processes of one router beside this one
+PART_MOST = 500  # servers, slots or calls in one message, of some 110 bytes each at most
 UNSENT_MOST = 4096  # messages that the other side has not taken, past which it is taken for stuck
 
+T = TypeVar("T")
+
 log = logging.getLogger("holdgw")
 
 
@@ -51,6 +59,12 @@
     at: int
 
 
+class Knowledge(msgspec.Struct, tag="knowledge", frozen=True):
+    """A part of what the elder's decisions have learnt, so that the successor need not begin anew."""
+
+    learnt: Learnt
+
+
 class Ready(msgspec.Struct, tag="ready", frozen=True):
     """The successor can serve."""
 
@@ -64,12 +78,32 @@
     """Seconds since that command began, or since the connection's last."""
 
 
-Message = Hello | Outs | Hand | Ready | Client
+Message = Hello | Outs | Hand | Knowledge | Ready | Client
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
 
 
+def parts(learnt: Learnt) -> Iterator[Learnt]:
+    """Cut what was learnt into parts that fit a message each."""
+    yield replace(learnt, servers={}, tenants={}, heat={}, usage={})
+    for names in batched(learnt.servers, PART_MOST):
+        yield Learnt(servers={name: learnt.servers[name] for name in names})
+    for name, tenant in learnt.tenants.items():
+        yield Learnt(tenants={name: replace(tenant, calls=tenant.calls[-PART_MOST:])})
+    for slots in batched(learnt.heat, PART_MOST):
+        yield Learnt(heat={slot: learnt.heat[slot] for slot in slots})
+    for tenants in batched(learnt.usage, PART_MOST):
+        yield Learnt(usage={name: learnt.usage[name] for name in tenants})
+
+
+def batched(items: Iterable[T], size: int) -> Iterator[list[T]]:
+    """Lists of at most so many items, in order."""
+    held = iter(items)
+    while batch := list(islice(held, size)):
+        yield batch
+
+
 class Link:
     """One connection between two processes of a router; owns it and every descriptor on the way."""
 
@@ -170,15 +204,18 @@
         self,
         loop: asyncio.AbstractEventLoop,
         outs: Callable[[], dict[str, int]],
+        learnt: Callable[[], Learnt],
         hand: Callable[[Hand], None],
+        learn: Callable[[Learnt], None],
         adopt: Callable[[Client, int], None],
         changed: Callable[[], None],
     ) -> None:
-        """`outs`: the servers out by hand here; `hand`, `adopt`: take what another process sends.
+        """`outs`, `learnt`: what this process knows; `hand`, `learn`, `adopt`: take what another sends.
 
         `changed`: links have come or gone.
         """
-        self._loop, self._outs, self._hand, self._adopt, self._changed = loop, outs, hand, adopt, changed
+        self._loop, self._outs, self._learnt, self._changed = loop, outs, learnt, changed
+        self._hand, self._learn, self._adopt = hand, learn, adopt
         self._links: dict[Link, None] = {}
         self._elder: Link | None = None
         self._met: asyncio.Future[None] | None = None
@@ -259,6 +296,8 @@
     def _take(self, link: Link, message: Message, descriptor: int | None) -> None:
         match message:
             case Hello():
+                for part in parts(self._learnt()):
+                    link.send(Knowledge(part))
                 link.send(Outs(VERSION, self._outs()))
             case Outs():
                 for server, since in message.since.items():
@@ -268,6 +307,8 @@
             case Hand():
                 self._hand(message)
                 self.tell(message, but=link)
+            case Knowledge():
+                self._learn(message.learnt)
             case Ready():
                 link.ready = True
             case Client() if descriptor is not None:
--- a/holdgw/policy/interface.py
+++ b/holdgw/policy/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 NS_PER_S = 1_000_000_000
@@ -232,6 +232,42 @@
     load: tuple[float, ...] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class LearntServer:
+    """What a router has found out about one cache server; times in nanoseconds."""
+
+    chance: float
+    down: bool
+    share: float
+    bad: float
+    pace: float
+    usual_load: float
+
+
+@dataclass(frozen=True, slots=True)
+class LearntTenant:
+    """A tenant's limit of origin fetches a second, and its calls lately: clock time, and if declined."""
+
+    limit: float
+    calls: tuple[tuple[int, bool], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Learnt:
+    """What a router has learnt and another process of it may go on from; any part may be missing."""
+
+    servers: dict[str, LearntServer] = field(default_factory=dict)
+    tenants: dict[str, LearntTenant] = field(default_factory=dict)
+    heat: dict[int, float] = field(default_factory=dict)
+    usage: dict[str, float] = field(default_factory=dict)
+    origin_time: float = 0.0
+    """Smoothed time of good fetches in nanoseconds; 0: not told."""
+    width: float = 0.0
+    """Most attempts at the origin before writes are held; 0: not told."""
+    sent: float = 0.0
+    """Attempts at caches, fading; 0: not told."""
+
+
 Event = ServersChanged | RequestArrived | StreamStarted | AttemptEnded | ClientGone | TimerFired | ProbeEnded
 
 
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import deque
+from collections.abc import Mapping
 from hashlib import blake2b
 from heapq import nlargest
 from itertools import takewhile
@@ -96,6 +97,12 @@
         """The chance now; 0 or less for a while after a refused connection."""
         return min(1.0, self._chance + (now - self._since) / REGAIN) if self._chance < 1.0 else 1.0
 
+    def recall(self, learnt: api.LearntServer, now: int) -> None:
+        """Go on from what another process found out."""
+        self._chance, self._since, self.down = learnt.chance, now, learnt.down
+        self.share, self._shared_at, self.bad = learnt.share, now, learnt.bad
+        self.pace, self.usual_load = learnt.pace, learnt.usual_load
+
     def judge(self, outcome: Outcome, late: bool, now: int, sent: int = 0, alone: bool = False) -> None:
         """Learn from an attempt's end; `alone`: the other servers are well.
 
@@ -196,20 +203,26 @@
     """Each slot's share of the requests seen lately, by counts halved now and then."""
 
     def __init__(self) -> None:
-        self._counts: dict[int | str, float] = {}
+        self.counts: dict[int | str, float] = {}
         self._total = 0.0
 
     def add(self, slot: int | str) -> float:
         """Count a request; returns the slot's share of those before it."""
-        count = self._counts.get(slot, 0.0)
+        count = self.counts.get(slot, 0.0)
         share = count / max(self._total, 1.0)
-        self._counts[slot] = count + 1
+        self.counts[slot] = count + 1
         self._total += 1
         if self._total >= HEAT_MEMORY:
-            self._counts = {slot: count / 2 for slot, count in self._counts.items() if count > 1}
-            self._total = sum(self._counts.values())
+            self.counts = {slot: count / 2 for slot, count in self.counts.items() if count > 1}
+            self._total = sum(self.counts.values())
         return share
 
+    def recall(self, counts: Mapping[int, float] | Mapping[str, float]) -> None:
+        """Add what another process has counted."""
+        for slot, count in counts.items():
+            self.counts[slot] = self.counts.get(slot, 0.0) + count
+        self._total += sum(counts.values())
+
 
 class Suppressor:
     """One tenant's guard of the origin: sliding-window counts, three regimes, AIMD rate limit."""
@@ -231,6 +244,12 @@
         self._calls.append((now, declined))
         self.declined += declined
 
+    def recall(self, limit: float, calls: tuple[tuple[int, bool], ...], now: int) -> None:
+        """Go on from the limit and the window of another process; what was counted here meanwhile stays."""
+        self.limit, self._last_rise = min(max(limit, self.floor), self.cap), now
+        self._calls = deque(sorted((*calls, *self._calls)))
+        self.declined = sum(declined for _, declined in self._calls)
+
     def accepted(self, now: int) -> int:
         """Calls of the window that went to the origin."""
         while self._calls and self._calls[0][0] <= now - self.window_s * NS_PER_S:
@@ -363,6 +382,48 @@
         """The ready cache servers that are left out by choice, but for a trial now and then."""
         return [name for name, node in self._caches.nodes.items() if node.down]
 
+    def learnt(self, now: int) -> api.Learnt:
+        """What another process of this router may go on from."""
+        for guard in self._guards.values():
+            guard.accepted(now)
+        return api.Learnt(
+            servers={
+                name: api.LearntServer(
+                    node.chance(now), node.down, node.share, node.bad, node.pace, node.usual_load
+                )
+                for name, node in self._caches.nodes.items()
+            },
+            tenants={
+                name: api.LearntTenant(guard.limit, tuple(guard._calls))
+                for name, guard in self._guards.items()
+            },
+            heat={slot: count for slot, count in self._heat.counts.items() if isinstance(slot, int)},
+            usage={name: count for name, count in self._usage.counts.items() if isinstance(name, str)},
+            origin_time=self._origin_time,
+            width=self._width,
+            sent=self._sent * math.exp((self._sent_at - now) / SENT_MEMORY),
+        )
+
+    def learn(self, learnt: api.Learnt, now: int) -> None:
+        """Go on from what another process of this router has learnt; unknown servers are passed over.
+
+        Danger: to begin anew at the generous limits floods the origin at every upgrade, and to send a dying
+        server its full share again costs its requests. It could do harm if what was learnt is long past:
+        hence it comes from a process that lives, and fades as if it had been learnt here.
+        """
+        for name, server in learnt.servers.items():
+            if (node := self._caches.nodes.get(name)) is not None:
+                node.recall(server, now)
+        for name, tenant in learnt.tenants.items():
+            if (guard := self._guards.get(name)) is not None:
+                guard.recall(tenant.limit, tenant.calls, now)
+        self._heat.recall(learnt.heat)
+        self._usage.recall(learnt.usage)
+        self._origin_time = learnt.origin_time or self._origin_time
+        self._width = learnt.width or self._width
+        if learnt.sent:
+            self._sent, self._sent_at = learnt.sent, now
+
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
             self._keep_subscribed(event.kind)
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -19,6 +19,7 @@
     Effect,
     Event,
     Fail,
+    Learnt,
     ListKind,
     Outcome,
     Probe,
@@ -374,6 +375,14 @@
         """The cache servers that the module leaves out by choice."""
         return self._router.avoided()
 
+    def learnt(self) -> Learnt:
+        """What the module has learnt, for another process of this router."""
+        return self._router.learnt(self.now())
+
+    def learn(self, learnt: Learnt) -> None:
+        """Go on from what another process has learnt."""
+        self._router.learn(learnt, self.now())
+
     def _fault(self, command: Command) -> str:
         """What makes a command unfit for any server, by the settings; empty where nothing does."""
         cls = self._classes.get(command.fields["c"])
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -13,7 +13,7 @@
 from holdgw.operation.listing import Listing
 from holdgw.operation.roster import Roster
 from holdgw.operation.takeover import Client, Hand, Takeover
-from holdgw.policy import ListKind
+from holdgw.policy import Learnt, ListKind
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.clients import ClientServer
 from holdgw.router.config import Config, ConfigError, load_config
@@ -60,8 +60,15 @@
         self.host.subscribe = self.discovery.subscribe
         self.roster = Roster(config.settings.origin_kind)
         self.door = Door(loop, self)
+        self._learnt: list[Learnt] = []  # by the elder, until there is a list of servers
         self.takeover = Takeover(
-            loop, lambda: self.roster.out, self._hand, self._adopt, self._processes_changed
+            loop,
+            lambda: self.roster.out,
+            self.host.learnt,
+            self._hand,
+            self._learnt.append,
+            self._adopt,
+            self._processes_changed,
         )
         self._adopting: dict[asyncio.Task[None], None] = {}
         self._leaving = False
@@ -84,6 +91,9 @@
     def _make_do(self) -> None:
         if not self.host.ready:
             self.host.ready = True
+            learnt, self._learnt = self._learnt, []
+            for part in learnt:
+                self.host.learn(part)
             self.takeover.ready()
 
     async def run(self, listening: asyncio.Future[Address] | None = None) -> None:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -12,12 +12,24 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import orjson
 import pytest
 import uvloop
 
-from holdgw.operation.takeover import Client, Hand, Hello, Link, Message, Takeover
-from tests.helpers import S
+from holdgw.operation.takeover import (
+    MESSAGE_MOST,
+    Client,
+    Hand,
+    Hello,
+    Knowledge,
+    Link,
+    Message,
+    Takeover,
+    parts,
+)
+from holdgw.policy import Learnt, LearntServer, LearntTenant, Outcome
+from tests.helpers import MS, S, ended, fleet, only_send, request, sends, settings, started
 from tests.peers import LIMIT_S, Agent, Cache, command, entry, read
 from tests.test_operation import call, get, put
 
@@ -287,6 +299,7 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         heard: dict[str, list[str]] = {name: [] for name in "abc"}
+        known: dict[str, list[Learnt]] = {name: [] for name in "abc"}
         changed = asyncio.Event()
 
         def takeover(name: str) -> Takeover:
@@ -295,7 +308,13 @@
                 changed.set()
 
             return Takeover(
-                loop, lambda: {f"out-{name}": 1}, hand, lambda told, fd: os.close(fd), lambda: None
+                loop,
+                lambda: {f"out-{name}": 1},
+                lambda: Learnt(usage={name: 1.0}),
+                hand,
+                lambda learnt: known[name].append(learnt),
+                lambda told, fd: os.close(fd),
+                lambda: None,
             )
 
         first, second, third = (takeover(name) for name in "abc")
@@ -303,6 +322,8 @@
             await process.begin(tmp_path)
         assert heard["b"] == ["out-a"]
         assert heard["c"] == ["out-b"]
+        assert [part.usage for part in known["c"] if part.usage] == [{"b": 1.0}]
+        assert not known["a"]
         third.tell(Hand("s", True, 5))
         while "s" not in heard["a"]:
             changed.clear()
@@ -325,7 +346,13 @@
         stuck.bind(str(tmp_path / "holdgw.link"))
         stuck.listen()
         process = Takeover(
-            asyncio.get_running_loop(), dict, lambda word: None, lambda told, fd: None, lambda: None
+            asyncio.get_running_loop(),
+            dict,
+            Learnt,
+            lambda word: None,
+            lambda learnt: None,
+            lambda told, fd: None,
+            lambda: None,
         )
         await process.begin(tmp_path)
         assert process.linked
@@ -335,10 +362,58 @@
         stuck.close()
 
     def msg(stuck: socket.socket) -> Message:
-        import msgspec
-
         peer, _ = stuck.accept()
         with peer:
             return msgspec.msgpack.decode(peer.recv(1000), type=Message)
 
     run(test)
+
+
+# What is learnt
+
+
+def test_a_successor_goes_on_from_what_the_elder_has_learnt() -> None:
+    elder = started(settings(), fleet(3))
+    # An origin that answers badly has taught it low limits, and a dead server to leave it out.
+    for number in range(40):
+        now = number * 100 * MS
+        send = only_send(elder.handle(request(f"r{number}", now, key=f"k{number}"), now))
+        (fetch, *_) = sends(elder.handle(ended(send, Outcome.MISS), now)) or (None,)
+        if fetch is not None:
+            elder.handle(ended(fetch, Outcome.ERROR, attempt=1, closed=True), now + MS)
+    dead = next(iter(elder._caches.nodes.values()))
+    for _ in range(4):
+        dead.judge(Outcome.CONNECT_FAILED, False, 4 * S)
+    assert elder.avoided() == [dead.entry.id]
+    successor = started(settings(), fleet(3), now=4 * S)
+    fresh = successor._guards["a"].limit
+    for part in parts(elder.learnt(4 * S)):
+        successor.learn(msgspec.msgpack.decode(msgspec.msgpack.encode(part), type=Learnt), 4 * S)
+    assert successor.avoided() == elder.avoided()
+    assert successor._guards["a"].limit == elder._guards["a"].limit < fresh / 2
+    assert successor._guards["a"].accepted(4 * S) == elder._guards["a"].accepted(4 * S) > 0
+    assert successor._guards["a"].declined == elder._guards["a"].declined
+    assert successor.learnt(4 * S) == elder.learnt(4 * S)
+
+
+def test_what_is_learnt_of_unknown_servers_and_tenants_is_passed_over() -> None:
+    router = started(settings(), fleet(1))
+    before = router.learnt(0)
+    gone = LearntServer(0.1, True, 0.1, 1.0, 1.0, 1.0)
+    router.learn(Learnt(servers={"gone": gone}, tenants={"none": LearntTenant(1.0, ())}), 0)
+    assert router.learnt(0) == before
+
+
+def test_what_a_large_router_has_learnt_comes_in_messages_of_bounded_size() -> None:
+    server = LearntServer(0.123456789, True, 0.987654321, 0.111111111, 1e9, 7.7777777)
+    calls = tuple((1 << 60, True) for _ in range(50_000))
+    learnt = Learnt(
+        servers={f"server-with-a-long-id-{i:06}": server for i in range(5000)},
+        tenants={f"tenant-{i}": LearntTenant(1.0, calls) for i in range(3)},
+        heat=dict.fromkeys(range(8192), 1.0),
+        usage={f"tenant-{i}": 1.0 for i in range(3)},
+    )
+    cut = list(parts(learnt))
+    assert max(len(msgspec.msgpack.encode(Knowledge(part))) for part in cut) < MESSAGE_MOST
+    assert sum(len(part.servers) for part in cut) == 5000
+    assert sum(len(part.heat) for part in cut) == 8192
