A cold server may be sent 0.42 of what fells it, in place of a quarter

Cause: the bound on cold servers goes by what the others are usually sent. Where most are cold (a release amid an upgrade) it fell with what was refused: up to 389 refusals a second for it at one router, beside servers with room.

The change: COLD_EXCESS 0.25 -> 0.42. A connection that can't be handed over is kept and tried again, and the handover logs how many went.

--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -51,7 +51,7 @@
 # answers is over the first, and that of the next-ranked server under the second; it comes back in time.
 BAD_ANSWERS, LEAN_BAD, LEAN_WELL = 32, 0.25, 0.1
 LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 16, 0.04, 20 * NS_PER_S
-COLD_EXCESS = 0.25  # of the multiple at which it falls: what it can do is known by the others' load only
+COLD_EXCESS = 0.42  # of the multiple at which it falls: what it can do is known by the others' load only
 COLD_BURST = 2.0  # attempts that a cold server may be sent at once
 SENT_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
 ON_THE_WAY = NS_PER_S // 20  # from when a request is written until it is there, at most
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -491,10 +491,17 @@
             lambda: ClientConnection(self, told), socket.socket(fileno=descriptor)
         )
 
-    def hand_over(self, send: Callable[[Client, int], None], even_amid: bool) -> None:
-        """Give every connection that can be given to another process."""
+    def hand_over(self, send: Callable[[Client, int], None], even_amid: bool) -> int:
+        """Give every connection that can be given to another process; returns how many were."""
+        given = 0
         for connection in list(self._connections):
-            connection.hand_over(send, even_amid)
+            try:
+                given += connection.hand_over(send, even_amid)
+            except OSError as error:
+                # Danger: one connection that can't be copied (descriptors are at their limit) would end the
+                # process with all the others. It stays here, and is tried again.
+                log.warning("takeover: a connection can't be handed over: %s", error)
+        return given
 
     def finish(self, even_midway: bool) -> None:
         """Close connections between requests; also amid a command, if so told."""
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -235,15 +235,17 @@
         loop, clients = self.loop, self.clients
         clients.stop_accepting()  # the successor accepts on the same socket
         due = begun + self._longest + KILL_SLACK_S
+        given = 0
         while clients.connected and loop.time() < due:
             link = self.takeover.successor
             if link is None:
                 clients.finish(even_midway=loop.time() >= begun + MIDWAY_S)
             else:
-                clients.hand_over(link.send, even_amid=loop.time() >= begun + MIDWAY_S)
+                given += clients.hand_over(link.send, even_amid=loop.time() >= begun + MIDWAY_S)
             await asyncio.sleep(DRAIN_STEP_S)
         while (link := self.takeover.successor) is not None and not link.sent and loop.time() < due:
             await asyncio.sleep(DRAIN_STEP_S)
+        log.info("takeover: %d connections handed over, %d left", given, clients.connected)
 
     @property
     def _longest(self) -> float:
