Three faults found on reading: back-pressure on a draining server, a tail never read, late news

Cause: a connection whose server drains counted as unusable, so it was not paused, and a slow client's value piled up; a client that took the last bytes late left the server's side paused for ever, with its attempt; what an elder told after there was a list went to a list that nobody read.

The change: pause asks only whether the transport lives; a whole value resumes its source; late parts are learnt at once.

--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -136,7 +136,10 @@
             self._request.reply.part(data)
 
     def value_whole(self) -> None:
-        """The client has all of it."""
+        """All of it has come."""
+        # Danger: what stands behind the value would never be read, and the attempt never end, where the
+        # client's slowness had paused the server's side for the last time.
+        self.resume()
         self._end_stream(whole=True)
 
     def _end_stream(self, whole: bool) -> None:
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -60,13 +60,13 @@
         self.host.subscribe = self.discovery.subscribe
         self.roster = Roster(config.settings.origin_kind)
         self.door = Door(loop, self)
-        self._learnt: list[Learnt] = []  # by the elder, until there is a list of servers
+        self._learnt: list[Learnt] = []  # by the elder, for as long as there is no list of servers
         self.takeover = Takeover(
             loop,
             lambda: self.roster.out,
             self.host.learnt,
             self._hand,
-            self._learnt.append,
+            self._learn,
             self._adopt,
             self._processes_changed,
         )
@@ -177,6 +177,12 @@
         elif word.server in self.roster.out:
             self._show(self.roster.use_again(word.server, word.at))
 
+    def _learn(self, learnt: Learnt) -> None:
+        if self.host.ready:
+            self.host.learn(learnt)
+        else:
+            self._learnt.append(learnt)
+
     def _adopt(self, told: Client, descriptor: int) -> None:
         task = self.loop.create_task(self.clients.adopt(told, descriptor))
         self._adopting[task] = None
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -91,7 +91,7 @@
         self.retired = False
         self._used = False
         self.streaming = False  # passes a long value on
-        self._paused = False
+        self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -136,14 +136,15 @@
 
     def pause(self) -> None:
         """Read no more for now: what has come is not taken."""
-        if not self._paused and self.usable and self.transport is not None:
-            self._paused = True
+        # Danger: one that is retired (its server drains) still brings what is under way.
+        if not self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused = True
             self.transport.pause_reading()
 
     def resume(self) -> None:
         """Read again."""
-        if self._paused:
-            self._paused = False
+        if self.paused:
+            self.paused = False
             if self.transport is not None and not self.transport.is_closing():
                 self.transport.resume_reading()
 
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -245,6 +245,67 @@
     run(test)
 
 
+def test_a_client_holds_its_server_back_though_that_server_drains_meanwhile() -> None:
+    # Found on reading: a connection of a server that drains was not paused, and its value piled up here.
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def all_of_it(writer: Writer) -> bool:
+            writer.write(head(LONGEST_VALUE) + VALUE[:100])
+            await go.wait()
+            for _ in range(4):
+                writer.write(VALUE)
+                await writer.drain()
+            return True
+
+        async with Scene(Giver(all_of_it)) as scene:
+            reader, writer = await scene.ask("a")
+            await took(reader, 50)
+            scene.node.pool.unlist_server("s1")
+            (connection,) = scene.node.clients._connections
+            connection.pause_writing()
+            go.set()
+            (upstream,) = scene.node.pool._servers["s1"].connections
+            while upstream.exchange is not None and not upstream.paused:
+                await asyncio.sleep(0.01)
+            assert upstream.paused
+            writer.transport.abort()
+            await scene.at_rest()
+
+    run(test)
+
+
+def test_what_stands_behind_a_value_is_read_though_its_client_was_slow() -> None:
+    # Found on reading: a client that took its last bytes late left the server's side paused for ever.
+    async def test() -> None:
+        last, tail = asyncio.Event(), asyncio.Event()
+
+        async def in_three(writer: Writer) -> bool:
+            writer.write(head(len(VALUE)) + VALUE[:-10])
+            await last.wait()
+            writer.write(VALUE[-10:] + TAIL[:2])
+            await tail.wait()
+            writer.write(TAIL[2:])
+            return True
+
+        async with Scene(Giver(in_three)) as scene:
+            reader, writer = await scene.ask("a")
+            begin = len(bulk(VALUE)) - 12
+            await took(reader, begin)
+            (connection,) = scene.node.clients._connections
+            connection.pause_writing()
+            last.set()
+            while b'succeeded"} 1' not in scene.node.host.figures.text(0, 0, 0):
+                await asyncio.sleep(0.01)
+            connection.resume_writing()
+            assert await took(reader, 12) == VALUE[-10:] + b"\r\n"
+            tail.set()
+            await asyncio.wait_for(scene.at_rest(), LIMIT_S)
+            writer.close()
+
+    run(test)
+
+
 def test_a_client_that_leaves_midway_ends_the_servers_sending() -> None:
     async def test() -> None:
         async with Scene(Giver(gives(head(LONGEST_VALUE), VALUE, VALUE))) as scene:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -29,9 +29,10 @@
     parts,
 )
 from holdgw.policy import Learnt, LearntServer, LearntTenant, Outcome
+from holdgw.router.program import Program
 from tests.helpers import MS, S, ended, fleet, only_send, request, sends, settings, started
 from tests.peers import LIMIT_S, Agent, Cache, command, entry, read
-from tests.test_operation import call, get, put
+from tests.test_operation import call, config, get, put
 
 HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
 SERVED = b"$5\r\nvalue\r\n"
@@ -396,6 +397,24 @@
     assert successor.learnt(4 * S) == elder.learnt(4 * S)
 
 
+def test_what_an_elder_tells_late_is_learnt_too(tmp_path: Path) -> None:
+    # Found on reading: parts that came once there was a list of servers were kept, and never used.
+    async def test() -> None:
+        program = Program(config(tmp_path, 9))
+        early, late = (Learnt(usage={name: 2.0}) for name in ("early", "late"))
+        program._learn(early)
+        assert not program.host.learnt().usage
+        program._make_do()
+        program._learn(late)
+        assert program.host.learnt().usage == {"early": 2.0, "late": 2.0}
+        assert not program._learnt
+        program.host.close()
+        program.clients.close()
+        program.pool.close()
+
+    run(test)
+
+
 def test_what_is_learnt_of_unknown_servers_and_tenants_is_passed_over() -> None:
     router = started(settings(), fleet(1))
     before = router.learnt(0)
