Long answers, links and counts said more simply; twins in rehearsal and tests go

Cause: a second reading: an answer's rare long form cost each usual one four fields and two calls; whether a connection streams or is paused was kept twice; the takeover's future was looked at in three places; the two heats shared a key type that no use of them has; call_door wrote pings again, and a request that wire.http writes; four test files had run and its bytes.

The change: LongAnswer, made only for one; streaming derived, paused in one place; an Event; Heat by the type of its key; rehearsal.routers.first_line; tests.peers.run. Nothing behaves otherwise.

--- a/holdgw/operation/door.py
+++ b/holdgw/operation/door.py
@@ -56,7 +56,7 @@
     try:
         server_id = call.body.decode().strip()
     except UnicodeDecodeError:
-        return _answer(400, b"the body must be a server's id\n")
+        server_id = ""
     if not server_id:
         return _answer(400, b"the body must be a server's id\n")
     try:
--- a/holdgw/operation/roster.py
+++ b/holdgw/operation/roster.py
@@ -45,7 +45,7 @@
         if not self._out and not self._back:
             return listing
         seen = tuple(map(self._seen, listing.change.servers))
-        return Listing(listing.generation, ServersChanged(listing.change.kind, seen), listing.addresses)
+        return replace(listing, change=ServersChanged(listing.change.kind, seen))
 
     def leave_out(self, server_id: str, now: int) -> Listing | None:
         """Take a server out by hand; returns the news for the router, None where it was out already.
--- a/holdgw/operation/takeover.py
+++ b/holdgw/operation/takeover.py
@@ -218,7 +218,7 @@
         self._hand, self._learn, self._adopt = hand, learn, adopt
         self._links: dict[Link, None] = {}
         self._elder: Link | None = None
-        self._met: asyncio.Future[None] | None = None
+        self._met = asyncio.Event()  # the elder has told what it has, or is gone
         self._door: socket.socket | None = None
         self._path: Path | None = None
         self._inode = 0
@@ -245,13 +245,12 @@
         except OSError:
             sock.close()
             raise
-        self._met = self._loop.create_future()
         self._elder = self._add(sock)
         self._elder.send(Hello(VERSION))
         # Danger: to serve before the elder has told which servers are out by hand would send to one of them.
-        with suppress(TimeoutError):
-            await asyncio.wait_for(self._met, MET_S)
-        if not self._met.done() or self._met.cancelled():
+        try:
+            await asyncio.wait_for(self._met.wait(), MET_S)
+        except TimeoutError:
             log.error("takeover: the elder says nothing; going on without its word")
 
     def _wait_at(self, path: Path) -> None:
@@ -289,8 +288,7 @@
         self._links.pop(link, None)
         if link is self._elder:
             self._elder = None
-            if self._met is not None and not self._met.done():
-                self._met.set_result(None)
+            self._met.set()
         self._changed()
 
     def _take(self, link: Link, message: Message, descriptor: int | None) -> None:
@@ -302,8 +300,7 @@
             case Outs():
                 for server, since in message.since.items():
                     self._hand(Hand(server, True, since))
-                if self._met is not None and not self._met.done():
-                    self._met.set_result(None)
+                self._met.set()
             case Hand():
                 self._hand(message)
                 self.tell(message, but=link)
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -15,11 +15,14 @@
 from heapq import nlargest
 from itertools import takewhile
 from operator import itemgetter
+from typing import Generic, TypeVar
 from zlib import crc32
 
 from holdgw.policy import interface as api
 from holdgw.policy.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
 
+Key = TypeVar("Key", int, str)
+
 SLOTS = 8192  # far more than servers, so that a slot's load is small beside a server's
 DEPTH = 8  # ranked servers remembered for a slot: more than the attempts of any request
 SPARE = 4  # and more, so that some may leave before all are ranked anew
@@ -199,14 +202,14 @@
         return [node for _, node in held]
 
 
-class Heat:
-    """Each slot's share of the requests seen lately, by counts halved now and then."""
+class Heat(Generic[Key]):
+    """Each slot's (or tenant's) share of the requests seen lately, by counts halved now and then."""
 
     def __init__(self) -> None:
-        self.counts: dict[int | str, float] = {}
+        self.counts: dict[Key, float] = {}
         self._total = 0.0
 
-    def add(self, slot: int | str) -> float:
+    def add(self, slot: Key) -> float:
         """Count a request; returns the slot's share of those before it."""
         count = self.counts.get(slot, 0.0)
         share = count / max(self._total, 1.0)
@@ -217,7 +220,7 @@
             self._total = sum(self.counts.values())
         return share
 
-    def recall(self, counts: Mapping[int, float] | Mapping[str, float]) -> None:
+    def recall(self, counts: Mapping[Key, float]) -> None:
         """Add what another process has counted."""
         for slot, count in counts.items():
             self.counts[slot] = self.counts.get(slot, 0.0) + count
@@ -341,7 +344,7 @@
         tenants = (*settings.tenants, api.Tenant("", 1.0))  # the last: requests of no known tenant
         self._guards = {tenant.name: Suppressor(tenant, settings.routers, self._rng) for tenant in tenants}
         self._caches, self._origins = SlotTable(settings), SlotTable(settings)
-        self._heat, self._usage = Heat(), Heat()  # by slot; by tenant
+        self._heat, self._usage = Heat[int](), Heat[str]()  # by slot; by tenant
         self._requests: dict[str, Request] = {}
         self._flights: dict[str, list[Request]] = {}  # key whose fetch is out -> requests waiting for it
         aim = min(cls.aim for cls in settings.classes)
@@ -397,8 +400,8 @@
                 name: api.LearntTenant(guard.limit, tuple(guard._calls))
                 for name, guard in self._guards.items()
             },
-            heat={slot: count for slot, count in self._heat.counts.items() if isinstance(slot, int)},
-            usage={name: count for name, count in self._usage.counts.items() if isinstance(name, str)},
+            heat=dict(self._heat.counts),
+            usage=dict(self._usage.counts),
             origin_time=self._origin_time,
             width=self._width,
             sent=self._sent * math.exp((self._sent_at - now) / SENT_MEMORY),
--- a/holdgw/rehearsal/routers.py
+++ b/holdgw/rehearsal/routers.py
@@ -19,6 +19,7 @@
 
 from holdgw.rehearsal.checker import Life
 from holdgw.standins.shell import Clock
+from holdgw.wire import http, resp
 from holdgw.wire.address import Address, format_address
 
 READY_S = 30.0
@@ -71,35 +72,30 @@
         return ip, probe.getsockname()[1]
 
 
-async def pings(address: Address) -> bool:
-    """Whether a router answers PING with PONG there: it has a list, and takes requests."""
+async def first_line(address: Address, data: bytes) -> bytes:
+    """The first line of what a router answers there; empty where nothing came in time."""
     writer = None
     try:
         async with asyncio.timeout(PING_S):
             reader, writer = await asyncio.open_connection(*address)
-            writer.write(b"*1\r\n$4\r\nPING\r\n")
-            return (await reader.readline()).startswith(b"+PONG")
+            writer.write(data)
+            return await reader.readline()
     except (OSError, TimeoutError):
-        return False
+        return b""
     finally:
         if writer is not None:
             writer.close()
 
 
+async def pings(address: Address) -> bool:
+    """Whether a router answers PING with PONG there: it has a list, and takes requests."""
+    return (await first_line(address, resp.command(b"PING"))).startswith(b"+PONG")
+
+
 async def call_door(address: Address, path: str, body: str) -> bool:
     """Call at a router's door; returns whether the answer was yes, in time."""
-    writer = None
-    head = f"PUT {path} HTTP/1.1\r\nHost: {format_address(address)}\r\nContent-Length: {len(body)}\r\n\r\n"
-    try:
-        async with asyncio.timeout(PING_S):
-            reader, writer = await asyncio.open_connection(*address)
-            writer.write((head + body).encode())
-            return (await reader.readline()).startswith(b"HTTP/1.1 200")
-    except (OSError, TimeoutError):
-        return False
-    finally:
-        if writer is not None:
-            writer.close()
+    call = http.request("PUT", path, format_address(address), body=body.encode())
+    return (await first_line(address, call)).startswith(b"HTTP/1.1 200")
 
 
 async def until_ready(address: Address, running: Callable[[], bool], clock: Clock) -> bool:
--- a/holdgw/router/caches.py
+++ b/holdgw/router/caches.py
@@ -13,10 +13,16 @@
 MAX_REST = 8 << 10  # all of an answer but its value: far more than a note and a load report take
 HEADER = re.compile(rb"\*[1-3]\r\n\$(\d{1,8})\r\n")
 LONGEST_HEADER = 16
+CRLF = b"\r\n"
 
 _NOTES = {b"hit": CacheNote.HIT, b"miss": CacheNote.MISS, b"pending": CacheNote.FETCH_OUT}
 
 
+def _without_value(begin: bytes | bytearray, end: bytes | bytearray) -> bytes:
+    """An answer for hiredis, with an empty value in place of the one that was cut out."""
+    return b"".join((begin, b"$0\r\n\r\n", end))
+
+
 class CacheConnection(Connection):
     """Speaks RESP2 with one cache server."""
 
@@ -25,7 +31,7 @@
         self._reader = hiredis.Reader()
         self._buffer = bytearray()  # of an answer with a value, until the value is whole
         self._value: bytes | None = None
-        self._left = 0  # bytes of a long value that are still to come, and its end
+        self._left = 0  # bytes of a long value that are still to come, and of the CRLF that ends it
         self._elements = b""  # the beginning of an answer whose value is passed on
         self._plain = False  # what comes goes to hiredis
         self._came = 0  # bytes that hiredis was given
@@ -36,7 +42,7 @@
         # value ends where it should: a wrong length would serve a part of it, or eat what follows.
         if self._left:
             data = self._pass_on(data)
-            if self._left or not data:
+            if not data:
                 return
         elif not self._plain:
             self._buffer += data
@@ -66,34 +72,35 @@
         if length > MAX_VALUE:
             first, self._elements = bytes(held[start:]), bytes(held[:4])
             held.clear()
-            self._left = length + 2
+            self._left = length + len(CRLF)
             self.value_begins(length)
             return self._pass_on(first) or None
         end = start + length
         if len(held) < end + 2:
             return None
-        if held[end : end + 2] != b"\r\n":
+        if held[end : end + 2] != CRLF:
             self.spoil("sent a value of another length than it says")
             return None
         self._value = bytes(held[start:end])
-        return b"%b$0\r\n\r\n%b" % (bytes(held[:4]), bytes(held[end + 2 :]))
+        return _without_value(held[:4], held[end + 2 :])
 
     def _pass_on(self, data: bytes) -> bytes:
         """Pass a part of a long value on; returns what hiredis shall read, once all of it has come."""
-        size = min(len(data), max(self._left - 2, 0))
+        size = min(len(data), self._left - len(CRLF))
         if size and self.exchange is not None:
             self.exchange.value_part(data[:size])
         self._left -= size
         self._buffer += data[size:]
-        if self.exchange is None or self._left > 2 or len(self._buffer) < 2:
+        if self.exchange is None or self._left > len(CRLF) or len(self._buffer) < len(CRLF):
             return b""
-        if self._buffer[:2] != b"\r\n":
+        if self._buffer[:2] != CRLF:
             self.spoil("sent a value of another length than it says")
             return b""
-        rest, self._left, self._plain = bytes(self._buffer[2:]), 0, True
+        rest = _without_value(self._elements, self._buffer[2:])
+        self._left, self._plain = 0, True
         self._buffer.clear()
         self.exchange.value_whole()
-        return b"%b$0\r\n\r\n%b" % (self._elements, rest)
+        return rest
 
     def _read(self) -> None:
         try:
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -8,6 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol, cast
 
 from holdgw.operation.takeover import HELD_MOST, Client
@@ -18,8 +19,8 @@
 MAX_PIPELINE = 256  # commands of one connection without an answer; more are left unread
 HIGH_WATER = 64 << 10  # bytes that the kernel did not take, past which nothing more is read for a client
 COMMAND_S = 2.3  # in which a command must be whole, and a new connection's first; 3 s are owed
-STREAM_STALL_S = 8.0  # the same in a long value: clients take seconds to read one
 STALL_S = 3.0  # in which a client must take something of what waits for it
+STREAM_STALL_S = 8.0  # the same in a long value: clients take seconds to read one
 IDLE_MANY_S = 2.2  # a connection between requests may be closed after 2 s; so are they where they are many
 IDLE_FEW_S = 30.0  # and where they are few
 MANY_SHARE = 0.25  # of the table
@@ -57,92 +58,73 @@
         """Give again."""
 
 
+class LongAnswer:
+    """An answer that is given in parts, as they come from its source."""
+
+    __slots__ = ("begun", "parts", "source", "whole")
+
+    def __init__(self, head: bytes, source: Source) -> None:
+        self.parts, self.source = deque((head,)), source  # the parts that are not written yet
+        self.begun = self.whole = False  # some of it is written; the last part is here
+
+    def write(self, connection: ClientConnection, transport: asyncio.Transport) -> bool:
+        """Write what there is, as far as the client takes it; returns whether that was the last of it."""
+        while self.parts and not connection.blocked:
+            self.begun = True
+            transport.write(self.parts.popleft())
+        if connection.blocked:
+            return False
+        if not self.whole:
+            self.source.resume()
+        return self.whole
+
+
 class Reply:
     """The place of one answer among those of its connection."""
 
-    __slots__ = ("_connection", "_parts", "_source", "_whole", "begun", "data", "request")
+    __slots__ = ("_connection", "data", "long", "request")
 
     def __init__(self, connection: ClientConnection) -> None:
         self._connection = connection
         self.data: bytes | None = None  # the answer, once there is one
+        self.long: LongAnswer | None = None  # in place of `data`
         self.request: Any = None  # the host's
-        self.begun = False  # some of the answer is written
-        self._parts: deque[bytes] | None = None  # of a long answer, what is not written yet
-        self._whole = False
-        self._source: Source | None = None
 
     def send(self, data: bytes) -> None:
         """Give the answer."""
         self.data = data
         self._connection.flush()
 
-    # A long answer, in parts
-
     def begin(self, head: bytes, source: Source) -> None:
         """Begin a long answer, whose parts come from there."""
-        self._parts, self._source = deque((head,)), source
+        self.long = LongAnswer(head, source)
         self._connection.flush()
 
     def part(self, data: bytes) -> None:
         """Give a part of it."""
-        if self._parts is None:
-            return
-        self._parts.append(data)
+        assert self.long is not None
+        self.long.parts.append(data)
         self._connection.flush()
         # Danger: what a client does not take would pile up here, value by value, until memory is full.
-        waiting = sum(map(len, self._parts or ()))
-        if self._source is not None and (waiting > HIGH_WATER or self._connection.blocked):
-            self._source.pause()
+        if self._connection.blocked or sum(map(len, self.long.parts)) > HIGH_WATER:
+            self.long.source.pause()
 
     def finish(self, tail: bytes) -> None:
         """Give the end of it."""
-        if self._parts is not None:
-            self._parts.append(tail)
-            self._whole = True
-            self._connection.flush()
+        assert self.long is not None
+        self.long.parts.append(tail)
+        self.long.whole = True
+        self._connection.flush()
 
     def break_off(self, error: bytes) -> None:
         """The rest of it won't come: the client must be able to tell."""
-        self._source = None
-        if self._parts is None:
-            return
-        if self.begun:
+        assert self.long is not None
+        if self.long.begun:
             self._connection.break_off()
         else:
-            self._parts = None
+            self.long = None
             self.send(error)
 
-    @property
-    def ready(self) -> bool:
-        """Whether something of it can be written, or it is at its end."""
-        return self.data is not None or bool(self._parts)
-
-    def write(self, transport: asyncio.Transport, connection: ClientConnection) -> bool:
-        """Write what there is, as far as the client takes it; returns whether that was the last of it."""
-        if self._parts is None:
-            transport.write(self.data or b"")
-            return True
-        while self._parts and not connection.blocked:
-            self.begun = True
-            transport.write(self._parts.popleft())
-        if self._parts or connection.blocked:
-            return False
-        if not self._whole:
-            if self._source is not None:
-                self._source.resume()
-            return False
-        return True
-
-    @property
-    def long(self) -> bool:
-        """Whether it is a long answer, under way."""
-        return self._parts is not None
-
-    def abandon(self) -> bool:
-        """The client has gone; returns whether its answer was still owed, or under way."""
-        source, self._source, self._parts = self._source, None, None
-        return self.data is None or source is not None
-
     def fail(self, fault: str) -> None:
         """Answer what is no request; its sender is not listened to any further."""
         # Danger: one who sends what can't be used goes on, at full speed, and each command costs the time
@@ -210,7 +192,7 @@
         # Nothing is read in between: both happen in one turn of the loop, and the copy keeps the socket up.
         descriptor = os.dup(transport.get_extra_info("socket").fileno())
         since = self.begun_at if self._reader.midway else self.used_at
-        told = Client(bytes(held), self.asked, max(self.server.loop.time() - since, 0.0))
+        told = Client(held, self.asked, max(self.server.loop.time() - since, 0.0))
         self.abort()
         send(told, descriptor)
         return True
@@ -234,7 +216,7 @@
         self.server.closed(self)
         replies, self.replies = self.replies, deque()
         for reply in replies:
-            if reply.abandon():
+            if reply.data is None:
                 self.server.host.client_gone(reply)
 
     def data_received(self, data: bytes) -> None:
@@ -302,11 +284,13 @@
     def flush(self) -> None:
         """Write the answers whose turn it is."""
         replies = self.replies
-        while replies and self.transport is not None and (replies[0].ready or replies[0].long):
-            if not replies[0].write(self.transport, self):
+        while replies and self.transport is not None:
+            data, long = replies[0].data, replies[0].long
+            if data is not None:
+                self.transport.write(data)
+            elif long is None or not long.write(self, self.transport):
                 break
-            if replies:  # a write that fails may have ended the connection
-                replies.popleft()
+            replies.popleft()
         if self.transport is None or self._parsing:
             return
         if self._last:
@@ -397,7 +381,7 @@
             size = self.transport.get_write_buffer_size()
             if size != self._unsent:
                 self._unsent, self.used_at = size, now
-            streams = bool(self.replies) and self.replies[0].long
+            streams = bool(self.replies) and self.replies[0].long is not None
             if now - self.used_at > (STREAM_STALL_S if streams else STALL_S):
                 log.warning("a client takes nothing of its answer")
                 self.abort()
@@ -423,14 +407,8 @@
 
     async def listen(self, address: Address, passed: socket.socket | None = None) -> Address:
         """Accept clients at this address, or on a socket that listens already; returns where that is."""
-        if passed is not None:
-            self._listener = await self.loop.create_server(
-                lambda: ClientConnection(self), sock=passed, backlog=BACKLOG
-            )
-        else:
-            self._listener = await self.loop.create_server(
-                lambda: ClientConnection(self), *address, backlog=BACKLOG
-            )
+        create = partial(self.loop.create_server, partial(ClientConnection, self), backlog=BACKLOG)
+        self._listener = await (create(*address) if passed is None else create(sock=passed))
         host, port = self._listener.sockets[0].getsockname()[:2]
         return str(host), int(port)
 
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -80,7 +80,6 @@
         self._sent_at = host.now()
         self._written_at = 0  # 0: not yet
         self._began_at = self._moved_at = 0  # a long value, and when the last of it came
-        self._paused = False
         self._timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
         request.attempts += 1
@@ -154,7 +153,7 @@
             request.reply.break_off(FAILED)
 
     def _look_if_stalled(self) -> None:
-        if self._paused:
+        if self.connection is not None and self.connection.paused:
             self._moved_at = self._host.now()  # it is the client who takes nothing, and its side sees to that
         left = STREAM_STALL_S - (self._host.now() - self._moved_at) / NS_PER_S
         if left <= 0:
@@ -164,16 +163,14 @@
 
     def pause(self) -> None:
         """The client takes no more for now."""
-        self._paused = True
         if self.connection is not None:
             self.connection.pause()
 
     def resume(self) -> None:
         """The client takes again."""
-        if self._paused:
-            self._paused, self._moved_at = False, self._host.now()
-            if self.connection is not None:
-                self.connection.resume()
+        if self.connection is not None and self.connection.paused:
+            self._moved_at = self._host.now()
+            self.connection.resume()
 
     def _stop_timers(self) -> None:
         for timer in (self._timer, self._write_timer):
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -90,8 +90,7 @@
         self.unsent = False  # the kernel has not taken the last byte of the request yet
         self.retired = False
         self._used = False
-        self.streaming = False  # passes a long value on
-        self.paused = False
+        self.paused = False  # nothing is read: what has come is not taken
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -130,12 +129,16 @@
         # Danger: the kernel would take in megabytes of each value, and one read give a quarter of one. It
         # could do harm to throughput over long lines; these are short.
         self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, STREAM_BUFFER)
-        self.streaming = True
         self.server.pool.streams(self)
         self.exchange.value_begins(length)
 
+    @property
+    def streaming(self) -> bool:
+        """Whether it passes a long value on."""
+        return self in self.server.streams
+
     def pause(self) -> None:
-        """Read no more for now: what has come is not taken."""
+        """Read no more for now."""
         # Danger: one that is retired (its server drains) still brings what is under way.
         if not self.paused and self.transport is not None and not self.transport.is_closing():
             self.paused = True
@@ -314,7 +317,6 @@
     def released(self, connection: Connection) -> None:
         """A connection has its answer: it takes what waits, or rests."""
         server = connection.server
-        connection.streaming = False
         server.streams.pop(connection, None)
         if not connection.usable:
             connection.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from typing import Any
 
 import orjson
+import uvloop
 
 from holdgw.policy import ListKind, Settings
 from holdgw.router.clients import ClientServer
@@ -18,9 +19,18 @@
 
 LIMIT_S = 20.0  # far beyond what any step takes, also on a busy machine
 
+HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+SERVED = b"$5\r\nvalue\r\n"
+
 Handler = Callable[[list[bytes]], Awaitable[bytes | None]]
 
 
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a test on the router's own kind of loop, within a limit."""
+    uvloop.run(asyncio.wait_for(test(), 3 * LIMIT_S))
+
+
 class Peer:
     """A listener on a free loopback port that hands each connection to a handler."""
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -214,14 +214,11 @@
     gone, back = Had("r1", "n1", "removed", 3.0), Had("r1", "n1", "up", 3.5)
     assert rules(history(gone, back, tried(), attempt(at=9.7))) == []
     told = Told("r1", "n1", "up", 3.5, 3.5)  # written at the instant at which the view had both
-    found = history(replace_at(gone, 3.5), back, told, tried(ended=10.5), attempt(at=10.4, ended=10.45))
+    gone_then = Had("r1", "n1", "removed", 3.5)
+    found = history(gone_then, back, told, tried(ended=10.5), attempt(at=10.4, ended=10.45))
     assert rules(found) == []
 
 
-def replace_at(had: Had, at: float) -> Had:
-    return Had(had.router, had.server, had.state, at)
-
-
 def test_a_server_out_by_hand_gets_nothing_whatever_discovery_says() -> None:
     out, back = Handed("r1", "n1", True, 9.0), Handed("r1", "n1", False, 9.9)
     up = Told("r1", "n1", "up", 9.2, 9.1)
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -8,26 +8,20 @@
 from typing import Any
 
 import pytest
-import uvloop
 
 from holdgw.policy import Outcome, Router, StreamStarted
 from holdgw.router import clients, host
 from holdgw.wire.http import HttpError, HttpReader
 from holdgw.wire.resp import LONGEST_VALUE, MAX_VALUE
 from tests.helpers import ended, fleet, only_send, request, sends, settings, started
-from tests.peers import LIMIT_S, Node, Peer, command, entry, read
+from tests.peers import LIMIT_S, MISS, Node, Peer, command, entry, read, run
 
 TAIL = b"\r\n$3\r\nhit\r\n$-1\r\n"
-MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
 VALUE = bytes(range(256)) * 4096 * 4  # 4 MiB
 
 Writer = asyncio.StreamWriter
 
 
-def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    uvloop.run(asyncio.wait_for(test(), 3 * LIMIT_S))
-
-
 class Giver(Peer):
     """A cache or an origin that gives each answer by a function of its own, then reads on."""
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -6,13 +6,11 @@
 import os
 import signal
 import socket
-from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
 import orjson
 import pytest
-import uvloop
 
 from holdgw.operation import door
 from holdgw.operation.figures import Disposition, Figures
@@ -21,15 +19,9 @@
 from holdgw.policy import ListKind, Server, ServersChanged, ServerState
 from holdgw.router.config import Config, ConfigError, load_config
 from holdgw.router.program import Program
+from holdgw.wire import http
 from tests.helpers import S
-from tests.peers import LIMIT_S, Agent, Cache, command, entry, read
-
-HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
-SERVED = b"$5\r\nvalue\r\n"
-
-
-def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    uvloop.run(asyncio.wait_for(test(), 3 * LIMIT_S))
+from tests.peers import HIT, LIMIT_S, SERVED, Agent, Cache, command, entry, read, run
 
 
 def listing(kind: ListKind, *servers: Server) -> Listing:
@@ -174,11 +166,11 @@
 
 
 def put(path: str, body: str) -> bytes:
-    return f"PUT {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+    return http.request("PUT", path, "x", body=body.encode())
 
 
 def get(path: str) -> bytes:
-    return f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+    return http.request("GET", path, "x")
 
 
 @pytest.mark.parametrize(
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -5,31 +5,21 @@
 import asyncio
 import os
 import signal
-from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 import orjson
 import pytest
-import uvloop
 
 from holdgw.policy import Action, AttemptEnded, Event, Outcome, RequestClass, Router
 from holdgw.router import clients, program, upstream
 from holdgw.router.config import Config, load_config
 from tests.helpers import MS, S, settings
-from tests.peers import LIMIT_S, Agent, Cache, Node, Origin, command, entry, read
+from tests.peers import HIT, LIMIT_S, MISS, SERVED, Agent, Cache, Node, Origin, command, entry, read, run
 
-HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
-MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
-SERVED = b"$5\r\nvalue\r\n"
 PAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue"
 
 
-def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    uvloop.run(asyncio.wait_for(test(), 3 * LIMIT_S))
-
-
 @pytest.mark.parametrize(
     "first",
     [
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -8,14 +8,12 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator
 from pathlib import Path
-from typing import Any
 
 import msgspec
 import orjson
 import pytest
-import uvloop
 
 from holdgw.operation.takeover import (
     MESSAGE_MOST,
@@ -31,18 +29,12 @@
 from holdgw.policy import Learnt, LearntServer, LearntTenant, Outcome
 from holdgw.router.program import Program
 from tests.helpers import MS, S, ended, fleet, only_send, request, sends, settings, started
-from tests.peers import LIMIT_S, Agent, Cache, command, entry, read
+from tests.peers import HIT, LIMIT_S, SERVED, Agent, Cache, command, entry, read, run
 from tests.test_operation import call, config, get, put
 
-HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
-SERVED = b"$5\r\nvalue\r\n"
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    uvloop.run(asyncio.wait_for(test(), 3 * LIMIT_S))
-
-
 class Process:
     """One process of the router, and the address of its door."""
 
