Load reports decide: servers over their load give slots up by time, at every router alike

A router meets a server 0.4 times a second, and its evidence (1/32 a late answer, a chance cut by 0.7) is counted by answers: it knows after ten seconds and more. The load reports, which tell in each answer what all routers do to a server (30 ms, none waiting; 300 ms, ten waiting), were read from the wire and used by nothing.

Excluded, by counts: CPU (0.25 of 0.85 cores at most), the connection tables (no dial refused by a living server), fetches of one key at several routers (15 %, the origin is well), own queues.

Change: a server over half the aim and 1.6 times the mean by its report gives up slots, at a pace by time; owners of a hot slot are drawn by what they tell.

--- a/holdgw/cli/__init__.py
+++ b/holdgw/cli/__init__.py
@@ -9,6 +9,7 @@
 import typer
 
 from holdgw.cli.common import INTERRUPTED, USAGE, UsageError
+from holdgw.cli.fleet_log import fleet_log
 from holdgw.cli.rehearse import rehearse, scenarios
 from holdgw.cli.run import run
 from holdgw.cli.simulate import simulate
@@ -22,7 +23,7 @@
     add_completion=False,
     pretty_exceptions_enable=False,
 )
-for command in (run, rehearse, simulate, scenarios):
+for command in (run, rehearse, simulate, scenarios, fleet_log):
     app.command()(command)
 
 
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -54,6 +54,13 @@
 # answers is over the first, and that of the next-ranked server under the second; it comes back in time.
 BAD_ANSWERS, LEAN_BAD, LEAN_WELL = 32, 0.25, 0.1
 LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 16, 0.04, 20 * NS_PER_S
+# What a load report tells: the time that a request takes there, and how many wait for one of so many places.
+LATENCY, QUEUE, QUEUE_SLOTS = "recent_ms", "backlog", 4.0
+FULL_AIM, FULL_USUAL = (
+    0.5,
+    1.6,
+)  # over its load by its report: past that part of the aim, and of the others' mean
+SHED_RATE, SHED_MOST = 0.5, NS_PER_S  # of its slots a second, at twice that; a report speaks for so long
 COLD_EXCESS = 0.42  # of the multiple at which it falls: what it can do is known by the others' load only
 COLD_BURST = 2.0  # attempts that a cold server may be sent at once
 SENT_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
@@ -79,6 +86,10 @@
         self.pace = 0.0  # smoothed latency of answers
         self._chance, self._since = 1.0, 0
         self.bad = 0.0  # smoothed share of answers that are late, full or missing
+        self.wait, self._told_at = (
+            0.0,
+            0,
+        )  # what an answer takes there by its last load report, and as of when
         self.share, self._shared_at = 1.0, 0  # the part of its slots that it keeps, and as of when
         self.room, self.room_at = COLD_BURST, 0  # attempts that it may be sent while cold, and as of when
 
@@ -91,6 +102,23 @@
         self._shared_at = now
         return ((slot ^ self.seed >> 24) * 0x9E3779B1 >> 8 & 0xFFFF) < self.share * 0x10000
 
+    def told(self, wait: float, most: float, now: int) -> None:
+        """Take a load report: over its load a server gives up slots, by time and not by answers.
+
+        Danger: of forty routers each meets a server twice in a second or less, and would count late answers
+        for ten seconds until it knew; the report tells each of them at once what all of them do there. All
+        let the same slots go at the same pace. It could do harm where reports lie: a server that says it is
+        slow loses slots for as long.
+        """
+        self.wait = wait
+        if wait > most:
+            elapsed = min(now - self._told_at, SHED_MOST) / NS_PER_S
+            self.share = max(
+                self.share * math.exp(-SHED_RATE * min(wait / most - 1.0, 2.0) * elapsed), LEAN_FLOOR
+            )
+            self._shared_at = now
+        self._told_at = now
+
     def lean(self, now: int) -> None:
         """Give up some of the slots: a request met it over its load, and another server could take it."""
         much = LEAN * (self.bad - LEAN_BAD)
@@ -344,7 +372,7 @@
 class Router:
     """One router's decisions: feed it events with the time, carry out the actions it returns."""
 
-    reads_loads = False
+    reads_loads = True
     """Whether the load reports in events make a difference."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
@@ -370,11 +398,16 @@
         self._strain = 0.0
         self._sent, self._sent_at = 0.0, 0  # attempts at caches, fading, and as of when
         self._budget = BUDGET_MOST  # attempts that may be taken for lost by their time
+        fields = settings.load_fields
+        self._fields = (fields.index(LATENCY), fields.index(QUEUE)) if {LATENCY, QUEUE} <= {*fields} else None
+        self._aim = aim
+        self._usual_wait = 0.0  # smoothed over the reports of all servers
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._origin_broke = 0  # its connections that broke since its last answer
         self._asking, self._failed_calls = False, 0
         self._now = 0
         self._actions: list[api.Action] = []
+        self.given_up: dict[str, int] = {}  # requests refused or failed, by the reason
 
     def handle(self, event: api.Event, now: int) -> list[api.Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
@@ -402,6 +435,20 @@
         """The ready cache servers that are left out by choice, but for a trial now and then."""
         return [name for name, node in self._caches.nodes.items() if node.down]
 
+    def state(self, now: int) -> dict[str, float]:
+        """What the decisions go by now: limits in fetches a second, shares and counts of servers."""
+        nodes = self._caches.nodes.values()
+        return {
+            **{f"limit {name}": guard.limit for name, guard in self._guards.items() if name},
+            "width": -1.0 if math.isinf(self._width) else self._width,
+            "origin bad": self._origin_bad,
+            "strain": self._strain,
+            "budget": self._budget,
+            "down": sum(node.down for node in nodes),
+            "shy": sum(node.chance(now) < 1.0 for node in nodes),
+            "lean": sum(node.share < 1.0 for node in nodes),
+        }
+
     def demands(self, now: int) -> dict[str, float]:
         """Each tenant's calls for the origin a second, admitted or not."""
         for guard in self._guards.values():
@@ -479,7 +526,7 @@
             return
         request = self._requests.get(token)
         if request and request.waiting and self._now >= request.deadline:
-            self._give_up(request)
+            self._give_up(request, "time")
         elif request and request.waiting and request.write:
             self._fetch(request)
 
@@ -528,7 +575,7 @@
     def _route(self, request: Request) -> None:
         """Send to the slot's server; to the next-ranked one if that one has failed or is ejected."""
         if not self._may_try(request):
-            self._give_up(request)
+            self._give_up(request, "attempts or time")
             return
         candidates = self._candidates(request)
         keepers = [node for node in candidates if node.down or node.keeps(request.slot, self._now)]
@@ -551,12 +598,12 @@
                 self._send(request, node)
                 return
             if not node.down:  # over its load: another server would miss, unless the slot moves for good
-                self._give_up(request)
+                self._give_up(request, "server")
                 return
         if room:
             self._missed(request)
         else:  # only a cold server could take it, and that is why it can't
-            self._give_up(request)
+            self._give_up(request, "cold server")
 
     def _lean(self, node: Node, others: list[Node]) -> None:
         """Departure: a server over its load gives slots to the next-ranked, if that one is well.
@@ -602,7 +649,8 @@
     def _draw(self, node: Node) -> tuple[float, float]:
         """Fewest own attempts out for its weight; ties by a lottery in proportion to the weights."""
         weight = node.weight * self._caches.warmth(node, self._now)
-        return node.load / weight, self._rng.expovariate(1.0) / weight
+        weight /= max(node.wait, self._usual_wait / 2, 1.0)
+        return node.load, self._rng.expovariate(1.0) / weight
 
     def _missed(self, request: Request) -> None:
         """Fetch, unless this router's fetch of the key is out: then wait for what it stores."""
@@ -618,7 +666,7 @@
         request.waiting = False
         origins = self._origins.rank(request.slot, self._now)
         if not origins or not self._may_try(request) or not request.may_send(origins[0], self._now):
-            self._give_up(request)
+            self._give_up(request, "no origin or attempt")
             return
         if request.write and origins[0].load >= self._width:  # held, for more would only queue at the origin
             self._held.append(request)
@@ -627,7 +675,7 @@
         if request.write:
             request.guard.count(self._now)
         elif not again and not request.guard.admit(self._now):
-            self._give_up(request)
+            self._give_up(request, "origin limit")
             return
         if request.key is not None and not request.write and not request.leads:
             self._flights[request.key] = []
@@ -678,6 +726,8 @@
             self._budget = min(BUDGET_MOST, self._budget + (1.0 if proof else BUDGET_SHARE))
             if not event.fresh:
                 node.pace += (took - node.pace) / 16 if node.pace else took
+        if not fetched and event.load is not None and self._fields is not None:
+            self._told(node, event.load)
         if not fetched:
             # A time-out before the deadline is one of our own patience, and no sign of load.
             slow = not lost if outcome is Outcome.TIMEOUT else late and not unsure
@@ -699,6 +749,14 @@
             request.failed.append(node)
             self._route(request)
 
+    def _told(self, node: Node, load: tuple[float, ...]) -> None:
+        """Take a server's load report, which tells of the whole fleet's load on it."""
+        assert self._fields is not None
+        latency, queue = load[self._fields[0]], load[self._fields[1]]
+        wait = latency * 1e6 * (1.0 + queue / QUEUE_SLOTS)
+        self._usual_wait += (wait - self._usual_wait) / 32 if self._usual_wait else wait
+        node.told(wait, max(self._aim * FULL_AIM, self._usual_wait * FULL_USUAL), self._now)
+
     def _vanished(self, node: Node, request: Request, took: int) -> bool:
         """Whether an answer that never came was lost on the way, and says nothing of its server's load.
 
@@ -770,7 +828,7 @@
         if request.write and self._now + pause < request.deadline and outcome is not Outcome.TIMEOUT:
             self._wait(request, pause)
         else:
-            self._give_up(request)
+            self._give_up(request, "fetch failed")
 
     def _land(self, request: Request, stored: bool) -> None:
         """End a flight: its waiters ask the cache again, or one of them fetches in the leader's place."""
@@ -784,7 +842,8 @@
         request.waiting = True
         self._actions.append(api.SetTimer(delay, request.id))
 
-    def _give_up(self, request: Request) -> None:
+    def _give_up(self, request: Request, why: str) -> None:
+        self.given_up[why] = self.given_up.get(why, 0) + 1
         if request.may_refuse():
             wait = int(self._rng.uniform(0.5, 1.0) * self._settings.max_retry_after)
             self._actions.append(api.Refuse(request.id, wait if self._settings.retry_after else 0))
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -13,6 +13,7 @@
 
 from holdgw.operation.figures import Disposition, Figures
 from holdgw.operation.listing import Listing
+from holdgw.operation.tally import Tally
 from holdgw.policy import (
     Action,
     AttemptEnded,
@@ -73,10 +74,22 @@
 class OpenRequest:
     """A request that is owed an answer, or has attempts out still."""
 
-    __slots__ = ("attempts", "closed", "cls", "command", "deadline", "id", "out", "reply", "stream")
-
-    def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int) -> None:
+    __slots__ = (
+        "arrived",
+        "attempts",
+        "closed",
+        "cls",
+        "command",
+        "deadline",
+        "id",
+        "out",
+        "reply",
+        "stream",
+    )
+
+    def __init__(self, request_id: str, command: Command, reply: Reply, deadline: int, arrived: int) -> None:
         self.id, self.command, self.reply, self.deadline = request_id, command, reply, deadline
+        self.arrived = arrived
         self.cls = command.info.fields["c"]
         self.attempts = self.out = 0
         self.closed = False
@@ -207,9 +220,13 @@
         request.out -= 1
         if outcome is Outcome.OK and not request.closed and value is not None:
             request.closed = True
+            if self._host.tally is not None:
+                self._count_served(self._host.tally)
             self._host.figures.ended(request.cls, Disposition.SUCCEEDED)
             reply.send(value)
         now = self._host.now()
+        if self._host.tally is not None:
+            self._count(self._host.tally, outcome, now)
         event = AttemptEnded(
             request.id,
             self._number,
@@ -226,6 +243,19 @@
         self._host.settle(request)
         self._host.tell(event)
 
+    def _count(self, tally: Tally, outcome: Outcome, now: int) -> None:
+        late = self._written_at > 0 and now - self._written_at > self._host.aim(self._request.cls)
+        key = self._request.command.key.decode(errors="replace") if self._to_origin else None
+        tally.attempt(self._server, outcome.value, self.fresh, late, key)
+
+    def _count_served(self, tally: Tally) -> None:
+        took = self._host.now() - self._request.arrived
+        path = ("fetched" if self._to_origin else "kept") + (
+            ", again" if self._number > self._to_origin else ""
+        )
+        late = took > self._host.aim(self._request.cls)
+        tally.count(f"served {path}{', late' if late else ''}")
+
 
 class ProbeExchange(Exchange):
     """One probe of a server."""
@@ -281,6 +311,8 @@
         self.shared: Shared | None = None
         """What the workers of one router have in common; None: this process is the router."""
         self.figures = Figures(cls.name for cls in settings.classes)
+        self.tally: Tally | None = None
+        """Counts what each second brought, where that is asked for."""
         self._router = Router(settings, seed)
         self.reads_loads = self._router.reads_loads
         self._pool, self._max_open = pool, max_open
@@ -363,8 +395,9 @@
         else:
             # Danger: a client counts its time from when it asked. A connection may have waited, unread, for a
             # process that can serve; to give it the whole time from here on answers too late.
-            deadline = self.now() + info.timeout_ms * NS_PER_MS - reply.late
-            request = OpenRequest(request_id, command, reply, deadline)
+            now = self.now()
+            deadline = now + info.timeout_ms * NS_PER_MS - reply.late
+            request = OpenRequest(request_id, command, reply, deadline, now - reply.late)
             reply.request = request
             self._requests[request_id] = request
             self.tell(
@@ -384,6 +417,20 @@
         self.figures.ended(command.info.fields["c"], Disposition.DECLINED)
         reply.send(b"-BUSY\r\n")
 
+    def aim(self, cls: str) -> int:
+        """The time in nanoseconds after which an answer of the class is late."""
+        return self._classes[cls].aim
+
+    def count_states(self, tally: Tally) -> dict[str, float]:
+        """Count what has its own running totals; returns what is so now."""
+        for why, count in self._router.given_up.items():
+            tally.grown(f"given up: {why}", count)
+        for (name, disposition), count in self.figures.results.items():
+            tally.grown(f"{name} {disposition.value}", count)
+        for word, count in self._pool.counts.items():
+            tally.grown(word, count)
+        return {**self._pool.tables(), **self._router.state(self.now())}
+
     @property
     def outstanding(self) -> int:
         """Requests taken that have no final answer yet."""
--- a/holdgw/router/platform.py
+++ b/holdgw/router/platform.py
@@ -25,3 +25,4 @@
     unix_ns: Callable[[], int] = time.time_ns
     environ: Mapping[str, str] = field(default_factory=lambda: os.environ)
     read: Callable[[str], bytes] = read_file
+    cpu_s: Callable[[], float] = time.process_time
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -17,6 +17,7 @@
 from holdgw.operation.listing import Listing
 from holdgw.operation.roster import Roster
 from holdgw.operation.takeover import Hand, Takeover
+from holdgw.operation.tally import Tally
 from holdgw.policy import Learnt, ListKind
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.clients import ClientServer
@@ -28,6 +29,7 @@
 from holdgw.router.upstream import Pool
 from holdgw.wire.address import Address
 
+TALLY, TALLY_S = "HOLDGW_TALLY", 1.0  # set: what each second brought is logged
 READY_S = 1.0  # the wait for discovery's first list, after which the known one must do
 ACCEPT_S = 0.5  # from SIGTERM on: new connections go on coming for up to 0.4 s
 MIDWAY_S = 0.65  # then commands that are not whole are no longer waited for
@@ -78,6 +80,10 @@
         self._adopting: dict[asyncio.Task[None], None] = {}
         self._leaving = False
         self._terminated = asyncio.Event()
+        self._tally_timer: asyncio.TimerHandle | None = None
+        if self.platform.environ.get(TALLY):
+            self.host.tally = Tally()
+            self._tally()
 
     async def _open(self, listening: asyncio.Future[Address] | None) -> None:
         """Let clients in, and follow discovery."""
@@ -131,6 +137,8 @@
         await self._drain()
         if make_do is not None:
             make_do.cancel()
+        if self._tally_timer is not None:
+            self._tally_timer.cancel()
         self.takeover.close()
         self.door.close()
         self.clients.close()
@@ -139,6 +147,18 @@
         self.pool.close()
         await asyncio.sleep(0)  # lets the transports close
 
+    def _tally(self) -> None:
+        tally = self.host.tally
+        assert tally is not None
+        self._tally_timer = self.loop.call_later(TALLY_S, self._tally)
+        states = {
+            **self.host.count_states(tally),
+            "clients": self.clients.connected,
+            "ready": self.host.ready,
+        }
+        tally.grown("cpu", self.platform.cpu_s())
+        log.info("%s", tally.line(self.platform.unix_ns() / NS_PER_S, states))
+
     def tables(self) -> dict[str, int]:
         """How much each of the router's tables holds now, for tests of what is left behind."""
         own = {
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -253,6 +253,13 @@
         self._servers: dict[str, Server] = {}
         self._held = 0  # descriptors: connections and dials
         self._room, self._held_bytes = room, 0
+        self.counts = {
+            "dials": 0,
+            "dials refused": 0,
+            "dials timed out": 0,
+            "evicted": 0,
+            "rested too long": 0,
+        }
         self._starved: dict[Server, None] = {}  # those for whose waiters there was no descriptor
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
 
@@ -393,6 +400,7 @@
                 self._starved[server] = None
                 return
             self._held += 1
+            self.counts["dials"] += 1
             dial = self._loop.create_task(self._dial(server))
             server.dials[dial] = None
 
@@ -406,6 +414,7 @@
         server.idle.remove(oldest)
         server.connections.pop(oldest, None)
         self._held -= 1
+        self.counts["evicted"] += 1
         oldest.close()
         return True
 
@@ -426,8 +435,10 @@
                 await asyncio.wait((connecting,), timeout=LATE_NOTICE_S)
             if connecting.done():
                 _, connection = connecting.result()
+            else:
+                self.counts["dials timed out"] += 1
         except OSError:
-            pass
+            self.counts["dials refused"] += 1
         finally:
             server.dials.pop(task, None)
             if connection is None:
@@ -472,5 +483,6 @@
         oldest = self._loop.time() - self._idle_limit
         for server in self._servers.values():
             while server.idle and server.idle[0].idle_since < oldest:
+                self.counts["rested too long"] += 1
                 server.idle.pop(0).close()
         self._feed_starved()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -19,7 +19,7 @@
     "standins": {"wire"},
     "rehearsal": {"standins", "wire"},
     "simulation": {"cores", "operation", "rehearsal", "router", "standins", "wire"},
-    "cli": {"cores", "router", "rehearsal", "simulation"},
+    "cli": {"cores", "operation", "router", "rehearsal", "simulation"},
     "__main__": {"cli"},
     "native": set(),
     "__init__": set(),
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,99 @@
+"""What a router knows of servers that it meets seldom; found on days with forty routers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import orjson
+from msgspec.structs import replace as changed
+
+from holdgw.operation.fleetlog import FleetLog
+from holdgw.operation.tally import Tally
+from holdgw.policy import Outcome, Router
+from tests.helpers import MS, S, ended, fleet, only_send, request, settings, started
+
+REPORTS = {"tenants": (), "routers": 40, "load_fields": ("recent_ms", "backlog")}
+
+
+def serve(router: Router, name: str, key: str, now: int, loads: dict[str, tuple[float, float]]) -> str:
+    """Have one read served by whatever server it goes to, which tells its load; returns the server."""
+    send = only_send(router.handle(request(name, now, tenant=None, key=key), now))
+    answer = changed(ended(send, Outcome.OK), load=loads.get(send.server, (30.0, 0.0)))
+    router.handle(answer, now + 20 * MS)
+    return send.server
+
+
+def sent_to(router: Router, server: str, start: int, loads: dict[str, tuple[float, float]]) -> float:
+    """The part of 600 reads of as many keys, in 10 s, that goes to the server."""
+    counts = Counter(serve(router, f"{start}-{i}", f"k{i}", start + i * S // 60, loads) for i in range(600))
+    return counts[server] / 600
+
+
+def test_a_server_that_tells_of_a_long_queue_gives_slots_up_before_an_answer_is_late() -> None:
+    router = started(settings(**REPORTS), fleet(6))
+    full = fleet(6)[2].id
+    before = sent_to(router, full, 0, {})
+    after = sent_to(router, full, 10 * S, {full: (150.0, 12.0)})
+    assert after < before / 2
+    assert sent_to(router, full, 60 * S, {}) > before * 0.9  # and has them back when it is well
+
+
+def test_slots_are_given_up_at_one_pace_however_seldom_a_router_meets_the_server() -> None:
+    shares = []
+    for step in (S // 40, S // 2):
+        router = started(settings(**REPORTS), fleet(6))
+        node = router._caches.nodes[fleet(6)[2].id]
+        for now in range(S, 4 * S, step):
+            node.told(600.0 * MS, 300.0 * MS, now)
+        shares.append(node.share)
+    assert 0.1 < shares[0] < 0.4
+    assert abs(shares[0] - shares[1]) < 0.1
+
+
+def test_where_all_tell_the_same_nobody_gives_slots_up() -> None:
+    router = started(settings(**REPORTS), fleet(6))
+    loads = {server.id: (200.0, 8.0) for server in fleet(6)}
+    sent_to(router, "", 0, loads)
+    assert {node.share for node in router._caches.nodes.values()} == {1.0}
+
+
+def test_owners_of_a_hot_slot_are_drawn_by_what_they_tell() -> None:
+    router = started(settings(**REPORTS), fleet(6))
+    slow = serve(router, "first", "hot", 0, {})
+    loads = {slow: (140.0, 0.0)}  # under what gives slots up
+    counts = Counter(serve(router, f"r{i}", "hot", i * S // 50, loads) for i in range(400))
+    others = [counts[server.id] for server in fleet(6) if server.id != slow]
+    assert counts[slow] * 3 < sum(others) / len(others)
+
+
+def test_reports_without_those_fields_change_nothing() -> None:
+    router = started(settings(tenants=(), load_fields=("inflight",)), fleet(6))
+    send = only_send(router.handle(request("r", tenant=None), 0))
+    assert router.handle(changed(ended(send, Outcome.OK), load=(900.0,)), 20 * MS) == []
+
+
+def test_the_tallies_of_a_fleet_are_merged_by_time() -> None:
+    log = FleetLog(1.0)
+    for router, at in (("n0", 100.1), ("n1", 100.6), ("n1", 101.7)):
+        tally = Tally()
+        tally.attempt("s-1", "ok", fresh=True, late=False, fetched=None)
+        tally.attempt("origin", "ok", fresh=False, late=True, fetched="left-pad")
+        tally.grown("dials", 3)
+        log.read(router, f"12:00 n0 INFO {tally.line(at, {'shy': 1.0})}\nsomething else\ntally {{}}\n")
+    first, second = (log.seconds[at] for at in sorted(log.seconds))
+    assert first.routers == {"n0", "n1"}
+    assert second.routers == {"n1"}
+    assert first.counts["cache.ok.fresh"] == 2
+    assert first.counts["dials"] == 6
+    assert first.counts["fetched twice"] == 1  # the same key by two routers in one second
+    assert first.busiest(1) == [("s-1", [2, 0, 0])]
+    assert log.totals()["origin.ok.late"] == 3
+    assert log.unread == 3
+
+
+def test_a_tally_tells_of_what_has_grown_since_the_last_line() -> None:
+    tally = Tally()
+    tally.grown("dials", 5)
+    tally.line(1.0, {})
+    tally.grown("dials", 7)
+    assert orjson.loads(tally.line(2.0, {}).removeprefix("tally "))["counts"] == {"dials": 2.0}
