A server is sent less by the wait it reports; one refused connection may be a death

Change: connections that rest and are closed by the server before their time tell that it has died: then one refusal is enough. The chance to be sent to falls in proportion as the reported wait passes 0.8 of the aim, and the report's word fades by half in a second.

--- a/holdgw/policy/interface.py
+++ b/holdgw/policy/interface.py
@@ -179,6 +179,8 @@
     """It was the first on its connection, which takes longer whatever the server's load."""
     begun: bool = False
     """Some of an answer had come: the attempt ran."""
+    deserted: bool = False
+    """The server had closed connections that rested, before their time, and none has come up since."""
 
 
 class ClientGone(Struct, frozen=True, gc=False):
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -56,11 +56,10 @@
 LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 16, 0.04, 20 * NS_PER_S
 # What a load report tells: the time that a request takes there, and how many wait for one of so many places.
 LATENCY, QUEUE, QUEUE_SLOTS = "recent_ms", "backlog", 4.0
-FULL_AIM, FULL_USUAL = (
-    0.5,
-    1.6,
-)  # over its load by its report: past that part of the aim, and of the others' mean
+# Over its load by its report: past that part of the aim, and so many times the mean of all.
+FULL_AIM, FULL_USUAL = 0.5, 1.6
 SHED_RATE, SHED_MOST = 0.5, NS_PER_S  # of its slots a second, at twice that; a report speaks for so long
+BOUND_AIM = 0.8  # a wait by its report, of the aim, past which a server is sent less in proportion
 COLD_EXCESS = 0.42  # of the multiple at which it falls: what it can do is known by the others' load only
 COLD_BURST = 2.0  # attempts that a cold server may be sent at once
 SENT_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
@@ -86,10 +85,9 @@
         self.pace = 0.0  # smoothed latency of answers
         self._chance, self._since = 1.0, 0
         self.bad = 0.0  # smoothed share of answers that are late, full or missing
-        self.wait, self._told_at = (
-            0.0,
-            0,
-        )  # what an answer takes there by its last load report, and as of when
+        self.bound = math.inf  # of that, past which it is sent less
+        # What an answer takes there by its last load report, and as of when.
+        self.wait, self._told_at = 0.0, 0
         self.share, self._shared_at = 1.0, 0  # the part of its slots that it keeps, and as of when
         self.room, self.room_at = COLD_BURST, 0  # attempts that it may be sent while cold, and as of when
 
@@ -126,7 +124,12 @@
 
     def chance(self, now: int) -> float:
         """The chance now; 0 or less for a while after a refused connection."""
-        return min(1.0, self._chance + (now - self._since) / REGAIN) if self._chance < 1.0 else 1.0
+        chance = min(1.0, self._chance + (now - self._since) / REGAIN) if self._chance < 1.0 else 1.0
+        if self.wait > self.bound:
+            wait = self.wait * 0.5 ** ((now - self._told_at) / NS_PER_S)
+            if wait > self.bound:
+                chance = min(chance, self.bound / wait)
+        return chance
 
     def recall(self, learnt: api.LearntServer, now: int) -> None:
         """Go on from what another process found out."""
@@ -134,22 +137,32 @@
         self.share, self._shared_at, self.bad = learnt.share, now, learnt.bad
         self.pace, self.usual_load = learnt.pace, learnt.usual_load
 
-    def judge(self, outcome: Outcome, late: bool, now: int, sent: int = 0, alone: bool = False) -> None:
+    def judge(
+        self,
+        outcome: Outcome,
+        late: bool,
+        now: int,
+        sent: int = 0,
+        alone: bool = False,
+        deserted: bool = False,
+    ) -> None:
         """Learn from an attempt's end; `alone`: the other servers are well.
 
         Danger: connections that break are everyday (an idle close that crosses a request, a full table, a
         new one reset as it comes up), and a reset is often followed by one; to take them for a death sends
         a server's whole share to the origin. A dead process refuses every connection, and a machine that
-        is gone, or a process that hangs, answers nothing at all. It could do harm when so many servers are
+        is gone, or a process that hangs, answers nothing at all. In a large fleet each of the routers would
+        lose a request for every server that dies, three refusals long: hence one is enough where the server
+        closed what rested before (`deserted`). It could do harm when so many servers are
         slow that ours get no answer: hence `alone`.
         """
-        chance = self.chance(now)
+        chance = min(1.0, self._chance + (now - self._since) / REGAIN)
         broke, mute = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET), outcome is Outcome.TIMEOUT
         self._refused = self._refused + 1 if outcome is Outcome.CONNECT_FAILED else 0
         self._resets = (self._resets + (outcome is Outcome.RESET)) * broke
         self._errors = self._errors + 1 if outcome is Outcome.ERROR else 0
         self._mute = (self._mute + mute) * (self.answered <= sent)
-        dead = self._refused >= STRIKES or self._resets >= RESETS
+        dead = self._refused >= STRIKES or deserted or self._resets >= RESETS
         dead = dead or self._errors >= ERRORS or (self._mute >= MUTE and alone)
         if dead or (self.down and (broke or mute)):
             chance, self.down = DEAD, True
@@ -731,7 +744,8 @@
         if not fetched:
             # A time-out before the deadline is one of our own patience, and no sign of load.
             slow = not lost if outcome is Outcome.TIMEOUT else late and not unsure
-            node.judge(outcome, slow, self._now, request.sent_at, self._strain <= ALONE)
+            alone = self._strain <= ALONE
+            node.judge(outcome, slow, self._now, request.sent_at, alone, event.deserted)
         else:
             self._judge_fetch(node, event, late and not unsure, lost)
         if not outcome.never_ran and request.ran is None:
@@ -755,6 +769,7 @@
         latency, queue = load[self._fields[0]], load[self._fields[1]]
         wait = latency * 1e6 * (1.0 + queue / QUEUE_SLOTS)
         self._usual_wait += (wait - self._usual_wait) / 32 if self._usual_wait else wait
+        node.bound = self._aim * BOUND_AIM
         node.told(wait, max(self._aim * FULL_AIM, self._usual_wait * FULL_USUAL), self._now)
 
     def _vanished(self, node: Node, request: Request, took: int) -> bool:
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -239,6 +239,7 @@
             waited=(self._written_at or now) - self._sent_at,
             fresh=self.fresh,
             begun=self.begun,
+            deserted=outcome is Outcome.CONNECT_FAILED and self._host.deserted(self._server),
         )
         self._host.settle(request)
         self._host.tell(event)
@@ -417,6 +418,10 @@
         self.figures.ended(command.info.fields["c"], Disposition.DECLINED)
         reply.send(b"-BUSY\r\n")
 
+    def deserted(self, server_id: str) -> bool:
+        """Whether the server has closed connections that rested, and none has come up since."""
+        return self._pool.deserted(server_id)
+
     def aim(self, cls: str) -> int:
         """The time in nanoseconds after which an answer of the class is late."""
         return self._classes[cls].aim
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -205,8 +205,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell a waiting exchange; only a request that the kernel never took whole has surely not run."""
+        rested = self.exchange is None and not self.retired
         self.retired = True
         exchange, self.exchange = self.exchange, None
+        # A process that dies resets what rests: whoever meets it next need not find out by himself.
+        self.server.deserted |= rested
         self.server.pool.lost(self)
         if exchange is not None:
             exchange.end(Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
@@ -223,6 +226,7 @@
         self.dials: dict[asyncio.Task[None], None] = {}
         self.streams: dict[Connection, None] = {}  # those of the connections that pass long values on
         self.waiting: deque[Exchange] = deque()
+        self.deserted = False  # it closed one that rested, and none has come up since
 
     @property
     def held(self) -> int:
@@ -305,6 +309,11 @@
             pass
         self._feed_starved()
 
+    def deserted(self, server_id: str) -> bool:
+        """Whether the server has closed connections that rested, and none has come up since."""
+        server = self._servers.get(server_id)
+        return server is not None and server.deserted
+
     def __contains__(self, server_id: str) -> bool:
         server = self._servers.get(server_id)
         return server is not None and server.open
@@ -450,6 +459,7 @@
             self._dial_failed(server)
             return
         server.connections[connection] = None
+        server.deserted = False
         connection.retired = not server.open or server.address != address
         self.released(connection)
 
