--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -123,9 +123,13 @@
         much = LEAN * (self.bad - LEAN_BAD)
         self.share, self._shared_at = max(self.share * (1.0 - much), LEAN_FLOOR), now
 
+    def _regained(self, now: int) -> float:
+        """The chance by what its answers told, come back by itself since."""
+        return min(1.0, self._chance + (now - self._since) / REGAIN) if self._chance < 1.0 else 1.0
+
     def chance(self, now: int) -> float:
         """The chance now; 0 or less for a while after a refused connection."""
-        chance = min(1.0, self._chance + (now - self._since) / REGAIN) if self._chance < 1.0 else 1.0
+        chance = self._regained(now)
         if self.wait > self.bound:
             wait = self.wait * 0.5 ** ((now - self._told_at) / NS_PER_S)
             if wait > self.bound:
@@ -157,7 +161,7 @@
         closed what rested before (`deserted`). It could do harm when so many servers are
         slow that ours get no answer: hence `alone`.
         """
-        chance = min(1.0, self._chance + (now - self._since) / REGAIN)
+        chance = self._regained(now)
         broke, mute = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET), outcome is Outcome.TIMEOUT
         self._refused = self._refused + 1 if outcome is Outcome.CONNECT_FAILED else 0
         self._resets = (self._resets + (outcome is Outcome.RESET)) * broke
