Load reports are known by both pairs of names, and a part that is off says so once

Checked: host.load and resp.parse_load take names from the settings and were right; at fault was `{LATENCY, QUEUE} <= {*fields}` in logic.py, which is silent where it does not hold. Other places of the kind were sought through settings.py and config.py: weightKind, membershipMode, familyInfo and feedback.how fall back unsaid on a word they don't know; no warm-up, no quota and no origin kind switch parts off. All are said now.

Change: policy/parts.py (named in the deploy file) says which value means what and which parts are off, with the reason: one line in the log, `lb_off{part=...} 1` in the figures.

--- a/holdgw/cores/supervisor.py
+++ b/holdgw/cores/supervisor.py
@@ -26,7 +26,7 @@
 from holdgw.operation.link import Client, Knowledge, Link
 from holdgw.operation.listing import Listing
 from holdgw.operation.roster import Roster
-from holdgw.policy import Action, ListKind, Router, ServersChanged, SetTimer, Subscribe, TimerFired
+from holdgw.policy import Action, ListKind, Router, ServersChanged, SetTimer, Subscribe, TimerFired, parts_off
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.config import Config, ConfigError, load_config
 from holdgw.router.discovery import Clock, Discovery, read_listing
@@ -83,7 +83,8 @@
         self._ear: Ear | None = None
         self._waiting: deque[tuple[Connected, int]] = deque()
         self._known = False  # there is a list of servers
-        self._ended = Figures(cls.name for cls in config.settings.classes)  # by workers that are gone
+        classes = (cls.name for cls in config.settings.classes)
+        self._ended = Figures(classes, parts_off(config.settings))  # by workers that are gone
         self._terminated = asyncio.Event()
         self._replaced: set[int] | None = None  # places done; None: nothing is being replaced
         self._tasks: dict[asyncio.Task[None], None] = {}
@@ -340,7 +341,7 @@
     def figures(self) -> bytes:
         """The figures of all workers together, as of their last accounts."""
         accounts = [one.account for one in self.workers.values() if one.account is not None]
-        total = Figures(name for name, _ in self._ended.results)
+        total = Figures((name for name, _ in self._ended.results), self._ended.off)
         total.add(self._ended.counts(), self._ended.forwards)
         total.reloads_applied = self._ended.reloads_applied
         total.reloads_rejected = self._ended.reloads_rejected
--- a/holdgw/operation/figures.py
+++ b/holdgw/operation/figures.py
@@ -22,11 +22,13 @@
 class Figures:
     """The counts; whoever gives an answer or makes an attempt counts it there and then."""
 
-    def __init__(self, classes: Iterable[str]) -> None:
+    def __init__(self, classes: Iterable[str], off: Iterable[str] = ()) -> None:
         self.results = {(name, disposition): 0 for name in classes for disposition in Disposition}
         self.forwards = 0
         """Attempts written whole to servers, the origin among them."""
         self.reloads_applied = self.reloads_rejected = 0
+        self.off = tuple(off)
+        """Parts of the decisions that the settings switch off."""
 
     def ended(self, request_class: str, disposition: Disposition) -> None:
         """Count a request's final answer; a class that the settings don't name is not counted."""
@@ -63,4 +65,6 @@
             ("sighup_rejected", "counter", self.reloads_rejected),
         ):
             lines += [f"# TYPE lb_{name} {kind}", f"lb_{name} {value}"]
+        if self.off:
+            lines += ["# TYPE lb_off gauge", *(f'lb_off{{part="{part}"}} 1' for part in self.off)]
         return "\n".join([*lines, ""]).encode()
--- a/holdgw/policy/__init__.py
+++ b/holdgw/policy/__init__.py
@@ -32,6 +32,7 @@
     TimerFired,
 )
 from holdgw.policy.logic import Router
+from holdgw.policy.parts import parts_off
 
 __all__ = [
     "Action",
@@ -64,4 +65,5 @@
     "Subscribe",
     "Tenant",
     "TimerFired",
+    "parts_off",
 ]
--- a/holdgw/policy/interface.py
+++ b/holdgw/policy/interface.py
@@ -127,6 +127,8 @@
     may_probe: bool = False
     load_fields: tuple[str, ...] = ()
     """The names of the values in a load report, in order."""
+    unread: tuple[tuple[str, str], ...] = ()
+    """Parts of the decisions that are off for words that could not be read, each with the reason."""
     workers: int = 1
     worker: int = 0
     """This module's number among the workers of one router, which share its limits."""
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -20,6 +20,7 @@
 
 from holdgw.policy import interface as api
 from holdgw.policy.interface import NS_PER_S, Effect, Group, ListKind, Outcome, ServerState
+from holdgw.policy.parts import report_places
 
 Key = TypeVar("Key", int, str)
 
@@ -54,8 +55,7 @@
 # answers is over the first, and that of the next-ranked server under the second; it comes back in time.
 BAD_ANSWERS, LEAN_BAD, LEAN_WELL = 32, 0.25, 0.1
 LEAN, LEAN_FLOOR, LEAN_REGAIN = 1 / 16, 0.04, 20 * NS_PER_S
-# What a load report tells: the time that a request takes there, and how many wait for one of so many places.
-LATENCY, QUEUE, QUEUE_SLOTS = "recent_ms", "backlog", 4.0
+QUEUE_SLOTS = 4.0  # places that those who wait by a load report are taken to wait for
 # Over its load by its report: past that part of the aim, and so many times the mean of all.
 FULL_AIM, FULL_USUAL = 0.5, 1.6
 SHED_RATE, SHED_MOST = 0.5, NS_PER_S  # of its slots a second, at twice that; a report speaks for so long
@@ -416,8 +416,7 @@
         self._strain = 0.0
         self._sent, self._sent_at = 0.0, 0  # attempts at caches, fading, and as of when
         self._budget = BUDGET_MOST  # attempts that may be taken for lost by their time
-        fields = settings.load_fields
-        self._fields = (fields.index(LATENCY), fields.index(QUEUE)) if {LATENCY, QUEUE} <= {*fields} else None
+        self._fields = report_places(settings.load_fields)
         self._aim = aim
         self._usual_wait = 0.0  # smoothed over the reports of all servers
         self._origin_bad = 0.0  # smoothed share of bad fetches
--- a/holdgw/policy/settings.py
+++ b/holdgw/policy/settings.py
@@ -8,6 +8,9 @@
 
 _EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
 _SIZED_WEIGHTS = ("nominal", "rough")
+_WEIGHTS = (*_SIZED_WEIGHTS, "none", "live", None)
+_MEMBERSHIP = ("automatic", "subscribe", None)
+_MODES = ("aside", "through")
 _TYPE_NAMES = {dict: "object", list: "array", str: "string", int: "integer", bool: "bool"}
 
 Fields = dict[str, Any]
@@ -44,6 +47,24 @@
     )
 
 
+def _unread(facts: Fields, aside: bool, kinds: list[str], origin: int) -> tuple[tuple[str, str], ...]:
+    """Which parts of the decisions are off because a word says nothing here, with the reason."""
+    found = []
+    mode = (facts.get("familyInfo") or {}).get("mode")
+    how = (facts.get("feedback") or {}).get("how", "answers")
+    if mode not in _MODES:
+        found.append(("origin", f"familyInfo.mode is {mode!r}"))
+    elif aside and not 0 <= origin < len(kinds):
+        found.append(("origin", f"familyInfo.originKind is {origin}, which names none of the kinds"))
+    if how != "answers":
+        found.append(("load_reports", f"feedback.how is {how!r}, and nothing is probed"))
+    if facts.get("weightKind") not in _WEIGHTS:
+        found.append(("weights", f"weightKind is {facts['weightKind']!r}"))
+    if facts.get("membershipMode") not in _MEMBERSHIP:
+        found.append(("subscription", f"membershipMode is {facts['membershipMode']!r}, taken for automatic"))
+    return tuple(found)
+
+
 def read_settings(facts: Fields) -> api.Settings:
     """Read the settings; unknown keys are ignored and null counts as absent."""
     family = facts.get("familyInfo") or {}
@@ -73,5 +94,6 @@
         weighted=facts.get("weightKind") in _SIZED_WEIGHTS,
         must_subscribe=facts.get("membershipMode") == "subscribe",
         load_fields=tuple((facts.get("feedback") or {}).get("fields") or ()),
+        unread=_unread(facts, aside, kinds, origin),
         **{key: value for key, value in optional.items() if value is not None},
     )
--- a/holdgw/rehearsal/deployment.py
+++ b/holdgw/rehearsal/deployment.py
@@ -11,6 +11,7 @@
 
 from holdgw.rehearsal.scenario import Scenario, router_names, zone_of
 from holdgw.standins.chance import unit
+from holdgw.standins.node import REPORT_FIELDS
 from holdgw.wire.address import Address, format_address
 
 NODE_KIND, STORE_KIND = "std-1c", "origin"
@@ -105,7 +106,7 @@
         "failureDomains": list(scenario.fleet.zones),
         "zone": zone_of(scenario.fleet.zones, number),
         "familyInfo": {"mode": "aside", "originKind": 1},
-        "feedback": {"fields": ["latency_ms", "queue"], "how": "answers"},
+        "feedback": {"fields": list(REPORT_FIELDS), "how": "answers"},
         "kinds": [NODE_KIND, STORE_KIND],
         "membershipMode": "automatic" if scenario.discovery.mode == "push" else "subscribe",
         "weightKind": "none",
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -38,6 +38,7 @@
     StreamStarted,
     Subscribe,
     TimerFired,
+    parts_off,
 )
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.caches import CacheConnection
@@ -313,7 +314,8 @@
         """Begins a watch where discovery is asked; whoever owns the watch sets it."""
         self.shared: Shared | None = None
         """What the workers of one router have in common; None: this process is the router."""
-        self.figures = Figures(cls.name for cls in settings.classes)
+        off = parts_off(settings)
+        self.figures = Figures((cls.name for cls in settings.classes), off)
         self.tally: Tally | None = None
         """Counts what each second brought, where that is asked for."""
         self._router = Router(settings, seed)
@@ -329,6 +331,8 @@
         self.wheel = Wheel(loop, now)
         self._sweep_soon: asyncio.Handle | None = None
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
+        if off:
+            log.warning("settings: off are %s", "; ".join(f"{part} ({why})" for part, why in off.items()))
 
     def close(self) -> None:
         """Stop the sweep, and what the module still waits for."""
--- a/holdgw/router/process.py
+++ b/holdgw/router/process.py
@@ -3,12 +3,24 @@
 from __future__ import annotations
 
 import gc
+import logging
 import sys
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import uvloop
 
+log = logging.getLogger("holdgw")
+
+
+def told_how_built() -> str:
+    """Which of the loaded modules of ours are compiled, in one line."""
+    ours = [module for name, module in sys.modules.items() if name.startswith("holdgw.")]
+    compiled = sum(not (getattr(module, "__file__", None) or ".py").endswith(".py") for module in ours)
+    if compiled:
+        return f"compiled: {compiled} of {len(ours)} modules"
+    return f"uncompiled: all {len(ours)} modules run as sources, at twice the CPU a request or more"
+
 
 def run_to_the_end(work: Callable[[], Coroutine[Any, Any, None]]) -> int:
     """Run the process's work on its loop; returns the exit code."""
@@ -16,6 +28,8 @@
     # client waits. What is here now is here until the end.
     gc.collect()
     gc.freeze()
+    # Danger: a build without a compiler falls back to the sources, and staff would learn of it by the load.
+    log.info("%s", told_how_built())
     try:
         uvloop.run(work())
     except OSError as error:
--- a/holdgw/standins/node.py
+++ b/holdgw/standins/node.py
@@ -24,6 +24,13 @@
 ATTEMPTS_KEPT = 65536
 
 Report = Callable[[float, int], bytes]
+REPORT_FIELDS = ("recent_ms", "backlog")
+"""A load report's values, in the platform's words: service time lately, and requests waiting."""
+
+
+def platform_report(latency_ms: float, queue: int) -> bytes:
+    """A load report with those fields."""
+    return b"%b=%.1f,%b=%d" % (REPORT_FIELDS[0].encode(), latency_ms, REPORT_FIELDS[1].encode(), queue)
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +173,7 @@
         host: Host,
         witness: Witness,
         clock: Clock,
-        report: Report = lambda latency, queue: b"latency_ms=%.1f,queue=%d" % (latency, queue),
+        report: Report = platform_report,
     ) -> None:
         self.name, self.spec, self.workload, self.clock = name, spec, workload, clock
         self.shares = Shares()
