--- a/holdgw/rehearsal/scenario.py
+++ b/holdgw/rehearsal/scenario.py
@@ -324,6 +324,8 @@
                     raise ValueError(f"{where}.nodes: no node {name!r}; they are {names[0]} to {names[-1]}")
         if getattr(trouble, "routers", 1) > self.fleet.routers:
             raise ValueError(f"{where}.routers: more than the {self.fleet.routers} there are")
+        if (zone := getattr(trouble, "zone", "")) and zone not in self.fleet.zones:
+            raise ValueError(f"{where}.zone: no zone {zone!r}; they are {', '.join(self.fleet.zones)}")
         if isinstance(trouble, Burst) and trouble.tenant not in ("", *(one.name for one in self.tenants)):
             raise ValueError(f"{where}.tenant: no tenant {trouble.tenant!r}")
 
--- a/holdgw/rehearsal/troubles.py
+++ b/holdgw/rehearsal/troubles.py
@@ -155,11 +155,14 @@
 
 
 class RouterRestart(_Trouble, frozen=True, kw_only=True, tag="router_restart"):
-    """Routers are restarted; TERM: as planned, KILL: they die. `gap_s` lies between one and the next."""
+    """Routers are restarted; TERM: as planned, KILL: they die. `gap_s` lies between one and the next, or
+    between so many `together` and the next ones.
+    """
 
     routers: Count = 1
     signal: Literal["TERM", "KILL"] = "TERM"
     gap_s: AtLeast0 = 0.0
+    together: Count = 1
 
 
 class RouterReload(_Trouble, frozen=True, kw_only=True, tag="router_reload"):
@@ -176,7 +179,10 @@
 
 
 class Partition(_Simulated, frozen=True, kw_only=True, tag="partition"):
-    """Nothing comes through between routers and nodes; `way`: both ways, or only to or from the nodes."""
+    """Nothing comes through between routers and nodes; `way`: both ways, or only to or from the nodes. With a
+    `zone`, that zone's routers and nodes are cut off from those of the others, and `nodes` and `routers` say
+    nothing.
+    """
 
     seconds: Positive
     nodes: Nodes | Literal["all"] = 1
@@ -184,6 +190,7 @@
     """0: all of them."""
     way: Literal["both", "to", "from"] = "both"
     store: bool = False
+    zone: str = ""
 
 
 class Vanish(_Simulated, frozen=True, kw_only=True, tag="vanish"):
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -141,6 +141,7 @@
 
 
 @pytest.mark.usefixtures("built")
+@pytest.mark.xdist_group("compiled")  # the copy is made once, by whoever comes first
 @pytest.mark.skipif(platform.machine() != "x86_64", reason="the filter's numbers are those of x86-64")
 def test_run_is_one_compiled_process_that_needs_nothing_the_fleets_clock_refuses(
     tmp_path: Path,
