--- a/holdgw/cores/crew.py
+++ b/holdgw/cores/crew.py
@@ -183,8 +183,8 @@
             return waits if waits > STUCK_S else 0.0
 
         # Danger: a worker whose CPU is taken away would be dealt its part of the clients, who would wait for
-        # it; what it was dealt already can't be taken back, for it may read of it at any time. Where all are late,
-        # on a busy machine, the one that has said nothing for the longest is the last.
+        # it; what it was dealt already can't be taken back, for it may read of it at any time. Where all are
+        # late, on a busy machine, the one that has said nothing for the longest is the last.
         # And accounts come one after the other: what one has taken since its last would count as nothing, and
         # it would be dealt all clients until its next.
         chosen = min(serving, key=lambda m: (stuck(m), m.connected + m.dealt - m.counted, m.dealt))
