--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -180,11 +180,12 @@
     run(test)
 
 
-@pytest.mark.parametrize("name", ["fleet-herd", "fleet-crowded"])
+@pytest.mark.parametrize("name", ["fleet-herd", "fleet-crowded", "fleet-roll", "fleet-split"])
 def test_forty_routers_keep_all_rules(name: str) -> None:
-    # Most killed at once with discovery down; fewer places for connections than routers.
+    # Most killed at once with discovery down; fewer places for connections than routers; nodes replaced while
+    # routers restart; a zone cut off.
     scenario = load_scenario(Path(f"bench/scenarios/{name}.toml"))
-    shorter = changed(scenario, length_s=9.0, load=changed(scenario.load, rate=250.0))
+    shorter = changed(scenario.cut(9.0), load=changed(scenario.load, rate=250.0))
     outcome = play_seed(shorter, 3)
     assert (outcome.first, outcome.fault) == ("", "")
     assert outcome.served > 0.8 * 9.0 * 250.0
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -46,6 +46,10 @@
             ("tenant", "me"),
         ),
         (BASE + '[[trouble]]\nkind = "router_restart"\nat = 1\nrouters = 9', ("routers", "more than")),
+        (
+            BASE + '[[trouble]]\nkind = "partition"\nat = 1\nseconds = 1\nzone = "nowhere"',
+            ("trouble[0]", "zone", "nowhere", "mladost"),
+        ),
         (
             BASE + '[[tenants]]\nname = "a"\nshare = 1\n[[tenants]]\nname = "a"\nshare = 1',
             ("tenants", "twice"),
@@ -173,6 +177,23 @@
     assert [step.at for step in day.steps] == sorted(step.at for step in day.steps)
 
 
+def test_routers_restart_so_many_at_a_time() -> None:
+    text = 'kind = "router_restart"\nat = 2\nrouters = 3\ntogether = 2\ngap_s = 1.5'
+    steps = [step for step in draw(day_of(f"[[trouble]]\n{text}"), 1).steps if step.verb == "restart"]
+    assert [step.at for step in steps] == [2.0, 2.0, 3.5]
+    assert len({step.target for step in steps}) == 3
+
+
+def test_a_zone_is_cut_off_from_the_others_and_not_from_itself() -> None:
+    text = '[[trouble]]\nkind = "partition"\nat = 2\nseconds = 3\nzone = "mladost"\nstore = true'
+    steps = [step for step in draw(day_of(text), 1).steps if step.verb == "partition"]
+    parted = {(one, other) for s in steps for one in s.args["routers"] for other in s.args["servers"]}
+    assert ("router01", "node000") in parted
+    assert ("router00", "node001") in parted
+    assert ("router01", "store") in parted  # which stands in the first zone
+    assert not {("router01", "node001"), ("router00", "node000"), ("router00", "store")} & parted
+
+
 def test_a_day_cut_short_loses_the_troubles_past_its_end() -> None:
     scenario = load_scenario("storm").cut(14.5)
     assert scenario.length_s == 14.5
