--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -51,10 +51,8 @@
         (
             (
                 "holdgw.router.upstream",
-                "        exchange, self.exchange = self.exchange, None\n"
-                "        self.resume()\n        self.server.pool.released(self)",
-                "        exchange = self.exchange\n"
-                "        self.resume()\n        self.server.pool.released(self)",
+                "        exchange, self.exchange = self.exchange, None\n        self.turned_away",
+                "        exchange = self.exchange\n        self.turned_away",
             ),
             ("holdgw.router.upstream", "        if not self.over:\n", "        if True:\n"),
         ),
@@ -139,14 +137,20 @@
     "given-up-kept": Mutant(
         "a connection whose exchange was given up is kept open for ever",
         "holdgw.router.upstream",
-        "            connection.exchange = None\n            connection.close()\n",
-        "            connection.exchange = None\n            connection.retired = True\n",
+        "or not pool.lingers(connection):\n                connection.close()\n",
+        "or not pool.lingers(connection):\n                connection.retired = True\n",
     ),
     "late-answer-believed": Mutant(
         "a connection whose exchange was given up goes back to the pool",
         "holdgw.router.upstream",
-        "            connection.exchange = None\n            connection.close()\n",
-        "            connection.exchange = None\n            connection.server.pool.released(connection)\n",
+        "or not pool.lingers(connection):\n                connection.close()\n",
+        "or not pool.lingers(connection):\n                pool.released(connection)\n",
+    ),
+    "owed-believed": Mutant(
+        "a connection that is owed a late answer goes back to the pool before that has come",
+        "holdgw.router.upstream",
+        "        server.owed[connection] = None\n        self._dial_for(server)\n",
+        "        self.released(connection)\n",
     ),
     "descriptor-miscounted": Mutant(
         "a descriptor that is free again is not counted so",
