fleet-log tells clients' tries, and each attempt by what it was made for and how it ended

Need: a storm could not be read in one table: attempts were counted by outcome only, and clients' tries not at all.

Change: Send carries `why` (first, next, again, trial, fetch, write), which decides nothing; the tally counts attempts by it, and tries by whether they are marked as retries and whether the client waits for less than the aim.

--- a/holdgw/operation/tally.py
+++ b/holdgw/operation/tally.py
@@ -33,11 +33,19 @@
         self.count(name, value - self._before.get(name, 0))
         self._before[name] = value
 
-    def attempt(self, server: str, word: str, fresh: bool, late: bool, fetched: str | None) -> None:
+    def tried(self, again: bool, hasty: bool) -> None:
+        """Count a client's try. `again`: marked as a retry; `hasty`: it waits less than its aim."""
+        self.count(f"tries{' again' if again else ''}{', hasty' if hasty else ''}")
+
+    def attempt(
+        self, server: str, word: str, fresh: bool, late: bool, fetched: str | None, why: str = ""
+    ) -> None:
         """Count an attempt's end: `word` is its outcome, `fetched` the key where it went to the origin.
 
-        `late`: after its class's aim. `fresh`: the first on its connection.
+        `late`: after its class's aim. `fresh`: the first on its connection. `why`: what it was made for.
         """
+        if why:
+            self.count(f"why {why}.{word}")
         where = "origin" if fetched is not None else "cache"
         self.count(f"{where}.{word}{'.fresh' if fresh else ''}{'.late' if late else ''}")
         if fetched is not None:
--- a/holdgw/policy/interface.py
+++ b/holdgw/policy/interface.py
@@ -228,12 +228,15 @@
     """Start an attempt at a server; `timeout` 0: until the client gives up.
 
     `within`: if its bytes can't be written in so long, they must not be written at all; 0: no bound.
+    `why`: what it was made for, in a word for counts: first, next (the one before had failed elsewhere),
+    again (where it was), trial (of a server that is left out), fetch or write (at the origin).
     """
 
     request: str
     server: str
     timeout: int = 0
     within: int = 0
+    why: str = "first"
 
 
 class Refuse(Struct, frozen=True, gc=False):
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -563,6 +563,7 @@
 
     def _send(self, request: Request, node: Node) -> None:
         request.sends += 1
+        why = self._why(request, node)
         request.node, request.sent_at, request.out = node, self._now, True
         node.usual_load += (node.load - node.usual_load) / 32
         node.load += 1
@@ -573,7 +574,15 @@
         request.patience = self._patience(request, node)
         bounded = request.ran is not None and request.cls.effect is Effect.KEYED
         within = request.write_within(self._now) if bounded else 0
-        self._actions.append(api.Send(request.id, node.entry.id, request.patience, within))
+        self._actions.append(api.Send(request.id, node.entry.id, request.patience, within, why))
+
+    def _why(self, request: Request, node: Node) -> str:
+        """What an attempt is made for, before it is noted."""
+        if request.fetching:
+            return "write" if request.write else "fetch"
+        if node.down:
+            return "trial"
+        return "first" if request.sends == 1 else "again" if node is request.node else "next"
 
     def _patience(self, request: Request, node: Node) -> int:
         """Departure: how long an answer is waited for before it counts as lost on the way.
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -100,8 +100,11 @@
 class Attempt(Exchange):
     """One attempt at a request."""
 
-    def __init__(self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool) -> None:
+    def __init__(
+        self, host: RouterHost, request: OpenRequest, server: str, to_origin: bool, why: str
+    ) -> None:
         self._host, self._request, self._server, self._to_origin = host, request, server, to_origin
+        self._why = why
         self._number = request.attempts
         self._sent_at = host.now()
         self._written_at = 0  # 0: not yet
@@ -250,7 +253,7 @@
             self._request.cls
         )
         key = self._request.command.key.decode(errors="replace") if self._to_origin else None
-        tally.attempt(self._server, outcome.value, self.fresh, late, key)
+        tally.attempt(self._server, outcome.value, self.fresh, late, key, self._why)
 
     def _count_served(self, tally: Tally) -> None:
         took = self._host.now() - self._request.arrived
@@ -407,6 +410,8 @@
             request = OpenRequest(request_id, command, reply, deadline, now - reply.late)
             reply.request = request
             self._requests[request_id] = request
+            if self.tally is not None:
+                self.tally.tried(info.fields.get("r") == "1", deadline - now < self.aim(request.cls))
             self.tell(
                 RequestArrived(
                     request=request_id,
@@ -596,7 +601,7 @@
             log.error("the module sent a request that is over")
             return
         now = self.now()
-        attempt = Attempt(self, request, action.server, action.server in self._origins)
+        attempt = Attempt(self, request, action.server, action.server in self._origins, action.why)
         if request.closed or now >= request.deadline or request.attempts > self.settings.max_attempts:
             attempt.end(Outcome.MOOT)
             return
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -161,6 +161,28 @@
     assert log.unread == 3
 
 
+def test_each_attempt_says_what_it_was_made_for() -> None:
+    router = started(settings(tenants=()), fleet(5))
+    first = only_send(router.handle(request("r", tenant=None), 0))
+    again = only_send(router.handle(ended(first, Outcome.RESET, latency=MS), MS))
+    other = only_send(router.handle(ended(again, Outcome.FULL, 1, latency=MS), 2 * MS))
+    fetch = only_send(router.handle(ended(other, Outcome.MISS, 2), 30 * MS))
+    assert [send.why for send in (first, again, other, fetch)] == ["first", "again", "next", "fetch"]
+    router = started(settings(tenants=()), fleet(1))
+    router._caches.nodes[fleet(1)[0].id].down = True
+    assert only_send(router.handle(request("t", S, tenant=None), S)).why == "trial"
+    assert only_send(router.handle(request("w", S, cls="edit", tenant=None), S)).why == "write"
+
+
+def test_a_tally_counts_tries_and_attempts_by_their_reason() -> None:
+    tally = Tally()
+    tally.tried(again=False, hasty=False)
+    tally.tried(again=True, hasty=True)
+    tally.attempt("s-1", "timeout", fresh=True, late=False, fetched=None, why="next")
+    counts = orjson.loads(tally.line(1.0, {}).removeprefix("tally "))["counts"]
+    assert counts == {"tries": 1, "tries again, hasty": 1, "why next.timeout": 1, "cache.timeout.fresh": 1}
+
+
 def test_a_tally_tells_of_what_has_grown_since_the_last_line() -> None:
     tally = Tally()
     tally.grown("dials", 5)
