--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -614,7 +614,9 @@
     run(test)
 
 
-def test_a_server_that_drains_keeps_no_connection_for_a_late_answer() -> None:
+def test_a_server_that_drains_keeps_no_connection_for_a_late_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "LINGER_S", 1e9)  # the sweep would close it too, later
+
     async def test() -> None:
         late = Late()
         cache, node = Cache(late.answer), Node(config=LONG, copies=True)
