A socket test is as it was again; the late-answer tests share their scene

A replacement meant for the new tests had also put `trusted` into test_the_module_is_told_what_only_the_sockets_know, which never needed it; three new tests built the same scene.

Change: that line as before; the scene stands once, and a field that nothing read goes. No assertion changed.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -207,7 +207,7 @@
         await node.start(entry("s1", cache.port))
         first = asyncio.create_task(node.ask(read("r1"), len(SERVED)))
         await asyncio.wait_for(asked.wait(), LIMIT_S)
-        second = asyncio.create_task(trusted(node).ask(read("r2", "other"), len(SERVED)))
+        second = asyncio.create_task(node.ask(read("r2", "other"), len(SERVED)))
         while len(node.host._requests) < 2:
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.05)
@@ -530,11 +530,20 @@
 
 
 class Late:
-    """Answers each command once it is let; tells how many there were."""
+    """A cache server that answers each command once it is let, and a router before it."""
 
-    def __init__(self) -> None:
+    def __init__(self, copies: bool = True) -> None:
         self.go: list[asyncio.Event] = []
-        self.answers: list[bytes] = []
+        self.cache, self.node = Cache(self.answer), Node(config=LONG, copies=copies)
+
+    async def start(self) -> tuple[Cache, Node]:
+        await self.cache.start()
+        await self.node.start(entry("s1", self.cache.port))
+        return self.cache, self.node
+
+    def stop(self) -> None:
+        self.node.stop()
+        self.cache.stop()
 
     async def answer(self, words: list[bytes]) -> bytes:
         mine = asyncio.Event()
@@ -565,9 +574,7 @@
     # Found on join+mass: each request given up on cost a dial, and the dials kept the servers late.
     async def test() -> None:
         late = Late()
-        cache, node = Cache(late.answer), Node(config=LONG, copies=True)
-        await cache.start()
-        await node.start(entry("s1", cache.port))
+        cache, node = await late.start()
         assert not (await node.ask(read("r1", "first", 60), 7)).startswith(b"$")
         assert node.pool.tables()["owed"] == 1
         assert node.pool.tables()["connections"] == 1
@@ -580,8 +587,7 @@
         assert await asked == b"$5\r\nother\r\n"
         assert cache.connections == 1
         assert node.pool.tables()["owed"] == 0
-        node.stop()
-        cache.stop()
+        late.stop()
 
     run(test)
 
@@ -593,10 +599,8 @@
     monkeypatch.setattr(upstream, "LINGER_S", 0.0)
 
     async def test() -> None:
-        late = Late()
-        cache, node = Cache(late.answer), Node(config=LONG, copies=copies)
-        await cache.start()
-        await node.start(entry("s1", cache.port))
+        late = Late(copies)
+        _, node = await late.start()
         for i in range(6):  # no more than a quarter of a server's connections is kept for it
             await trusted(node).ask(read(f"r{i}", "first", 60), 7)
         assert node.pool.tables()["owed"] == (4 if copies else 0)
@@ -608,8 +612,7 @@
         await late.came(7)
         late.go[-1].set()
         assert await asked == b"$5\r\nother\r\n"
-        node.stop()
-        cache.stop()
+        late.stop()
 
     run(test)
 
@@ -619,9 +622,7 @@
 
     async def test() -> None:
         late = Late()
-        cache, node = Cache(late.answer), Node(config=LONG, copies=True)
-        await cache.start()
-        await node.start(entry("s1", cache.port))
+        _, node = await late.start()
         await node.ask(read("r1", "first", 60), 7)
         assert node.pool.tables()["owed"] == 1
         node.pool.unlist_server("s1")
@@ -629,8 +630,7 @@
             while node.pool.tables()["connections"]:
                 await asyncio.sleep(0.005)
         assert node.pool.tables()["owed"] == node.pool.tables()["servers"] == 0
-        node.stop()
-        cache.stop()
+        late.stop()
 
     run(test)
 
