--- a/bench/paired.py
+++ b/bench/paired.py
@@ -2,8 +2,7 @@
 
 Every seed is played by the router as it is and by each mutant (bench/mutants.py), in simulated time. Printed
 are, for each figure, the mean as it is, the mean with the mutant, and the mean of the differences with its
-95 % interval. `gain`: the interval lies on the router's side of 0, so the seeds find
-the mutant by this figure.
+95 % interval. `gain`: the interval lies on the router's side of 0, so the seeds find the mutant by it.
 """
 
 from __future__ import annotations
@@ -25,6 +24,7 @@
 
 def figures(scenario: str, seed: int, seconds: float) -> dict[str, float]:
     """Play one seed; its figures."""
+    from holdgw.rehearsal.counting import outcomes
     from holdgw.rehearsal.day import STORE
     from holdgw.rehearsal.report import make_report
     from holdgw.rehearsal.scenario import load_scenario
@@ -35,17 +35,13 @@
     if outcome.fault or outcome.played is None:
         raise RuntimeError(f"{scenario}, seed {seed}: {outcome.fault}")
     report = make_report(outcome.played)
-    served = [fate.took for fate in report.fates if fate.took is not None]
-    aims = [cls.aim_ms / 1000 for cls in loaded.classes]
-    asked = len(report.fates)
-    prompt = sum(
-        fate.took is not None and fate.took <= aims[fate.ask.request_class] for fate in report.fates
-    )
+    counted = outcomes(report.fates, loaded.classes)
+    asked = counted["asked"]
     fetches = sum(one.server == STORE for one in report.attempts)
     return {
         "service": report.service.whole,
-        "served": len(served) / asked,
-        "in_aim": prompt / asked,
+        "served": counted["served"] / asked,
+        "in_aim": counted["in_aim"] / asked,
         "attempts": (len(report.attempts) - fetches) / asked,
         "fetches": fetches / asked,
         "broken": float(len(outcome.broken)),
--- a/holdgw/cores/crew.py
+++ b/holdgw/cores/crew.py
@@ -153,6 +153,13 @@
             return None
         return next((place for place in range(self.workers) if place not in self.replaced), None)
 
+    def not_replaced(self, place: int) -> bool:
+        """A worker ended by itself: whether that ends the replacement, as its place was still to be done."""
+        ends = self.replaced is not None and place not in self.replaced
+        if ends:
+            self.replaced = None
+        return ends
+
     def all_replaced(self) -> bool:
         """Whether the last one has just been replaced; tells it once."""
         done = self.replaced is not None and len(self.replaced) == self.workers
--- a/holdgw/cores/supervisor.py
+++ b/holdgw/cores/supervisor.py
@@ -199,10 +199,8 @@
         log.log(
             logging.INFO if expected else logging.ERROR, "worker %d ended with %d", one.member.place, code
         )
-        replaced = self.crew.replaced
-        if replaced is not None and one.member.place not in replaced and not expected:
+        if not expected and self.crew.not_replaced(one.member.place):
             log.error("replacing: worker %d did not come up; the old ones go on", one.member.place)
-            self.crew.replaced = None
         if wait is not None:
             self._later(wait, partial(self._start_soon, one.member.place))
 
--- a/holdgw/policy/settings.py
+++ b/holdgw/policy/settings.py
@@ -47,14 +47,13 @@
     )
 
 
-def _unread(facts: Fields, aside: bool, kinds: list[str], origin: int) -> tuple[tuple[str, str], ...]:
+def _unread(facts: Fields, mode: Any, kinds: list[str], origin: int) -> tuple[tuple[str, str], ...]:
     """Which parts of the decisions are off because a word says nothing here, with the reason."""
     found = []
-    mode = (facts.get("familyInfo") or {}).get("mode")
     how = (facts.get("feedback") or {}).get("how", "answers")
     if mode not in _MODES:
         found.append(("origin", f"familyInfo.mode is {mode!r}"))
-    elif aside and not 0 <= origin < len(kinds):
+    elif mode == "aside" and not 0 <= origin < len(kinds):
         found.append(("origin", f"familyInfo.originKind is {origin}, which names none of the kinds"))
     if how != "answers":
         found.append(("load_reports", f"feedback.how is {how!r}, and nothing is probed"))
@@ -94,6 +93,6 @@
         weighted=facts.get("weightKind") in _SIZED_WEIGHTS,
         must_subscribe=facts.get("membershipMode") == "subscribe",
         load_fields=tuple((facts.get("feedback") or {}).get("fields") or ()),
-        unread=_unread(facts, aside, kinds, origin),
+        unread=_unread(facts, family.get("mode"), kinds, origin),
         **{key: value for key, value in optional.items() if value is not None},
     )
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -105,7 +105,6 @@
         self._used = False
         self.paused = False  # nothing is read: what has come is not taken
         self.turned_away = False  # its last answer was that the server is full, which may close it then
-        self.owed_since = -1.0  # an answer that nobody waits for any more is to come; -1: none is
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; a limit of 0 tells precisely whether the kernel has taken every byte."""
@@ -156,6 +155,11 @@
         """Whether it passes a long value on."""
         return self in self.server.streams
 
+    @property
+    def owed(self) -> bool:
+        """Whether an answer that nobody waits for any more is to come."""
+        return self in self.server.owed
+
     def pause(self) -> None:
         """Read no more for now."""
         # Danger: one that is retired (its server drains) still brings what is under way.
@@ -187,7 +191,7 @@
         exchange, self.exchange = self.exchange, None
         self.turned_away = outcome is Outcome.FULL
         self.resume()
-        if self.owed_since >= 0:
+        if self.owed:
             self.server.pool.owed_came(self)
         self.server.pool.released(self)
         if exchange is not None:
@@ -207,7 +211,7 @@
             self.exchange.begun = True
         elif not self.usable:
             return
-        elif self.owed_since < 0:
+        elif not self.owed:
             self.spoil("sent an answer that nobody asked for")
             return
         try:
@@ -224,7 +228,7 @@
         """Tell a waiting exchange; only a request that the kernel never took whole has surely not run."""
         # Danger: one that found the server's table full is answered so and closed. To take that for a death
         # leaves out a server that lives, at the next connection that it refuses.
-        rested = self.exchange is None and not (self.retired or self.turned_away) and self.owed_since < 0
+        rested = self.exchange is None and not (self.retired or self.turned_away or self.owed)
         self.retired = True
         exchange, self.exchange = self.exchange, None
         # A process that dies resets what rests: whoever meets it next need not find out by himself.
@@ -246,7 +250,7 @@
         self.dials: dict[asyncio.Task[None], None] = {}
         self.streams: dict[Connection, None] = {}  # those of the connections that pass long values on
         self.waiting: deque[Exchange] = deque()
-        self.owed: dict[Connection, None] = {}  # those of the connections on which a late answer is to come
+        self.owed: dict[Connection, float] = {}  # those on which a late answer is to come, and since when
         self.deserted = False  # it closed one that rested, and none has come up since
 
     @property
@@ -334,15 +338,13 @@
             return False
         if connection.unsent or connection.paused or len(server.owed) >= most:
             return False
-        connection.owed_since = self._loop.time()
-        server.owed[connection] = None
+        server.owed[connection] = self._loop.time()
         self._dial_for(server)
         return True
 
     def owed_came(self, connection: Connection) -> None:
         """The late answer has come, and is dropped."""
-        connection.owed_since = -1.0
-        connection.server.owed.pop(connection, None)
+        del connection.server.owed[connection]
         self.counts["late answers"] += 1
 
     def hold(self, size: int) -> bool:
@@ -557,6 +559,6 @@
             while server.idle and server.idle[0].idle_since < oldest:
                 self.counts["rested too long"] += 1
                 server.idle.pop(0).close()
-            for connection in [one for one in server.owed if one.owed_since < late]:
+            for connection in [one for one, since in server.owed.items() if since < late]:
                 connection.close()
         self._feed_starved()
