A process that stood still gives requests no more time than their clients have left

Lines: host.request_arrived (deadline from `now`).

Change: router/stall.py (pure) knows by 20 ms beats for how long what is read now may have lain there; the deadline is that much nearer, and what has no time left is refused at once. The supervisor and a process that hands connections on tell the same.

--- a/holdgw/cores/supervisor.py
+++ b/holdgw/cores/supervisor.py
@@ -34,8 +34,10 @@
 from holdgw.router.platform import Platform
 from holdgw.router.process import run_to_the_end
 from holdgw.router.program import ACCEPT_S, KILL_SLACK_S, READY_S, read_again
+from holdgw.router.stall import Beats
 from holdgw.router.wheel import Wheel
 
+LOOK_S = 0.02  # whether this process stood still: what it accepts then has waited
 BEAT_S = 0.1  # shares, starts that are overdue, replacements
 WAITING_MOST = 4096  # connections that no worker can take yet; more wait in the kernel
 
@@ -88,6 +90,7 @@
         self._terminated = asyncio.Event()
         self._tasks: dict[asyncio.Task[None], None] = {}
         self._wheel = Wheel(loop, self.platform.monotonic_ns)
+        self._beats = Beats(int(LOOK_S * NS_PER_S), self.platform.monotonic_ns())
 
     async def run(self, listening: asyncio.Future[Any] | None = None) -> None:
         """Serve until SIGTERM, and then until every worker has drained."""
@@ -114,6 +117,7 @@
             self._tell_module(ServersChanged(ListKind.CACHED))
         self._later(READY_S, self._look_for_a_list)
         self._later(BEAT_S, self._beat)
+        self._look()
         await self._terminated.wait()
         await self._end()
 
@@ -214,6 +218,10 @@
         if self.crew.replace(self.loop.time()):
             log.info("replacing %d workers", self.crew.workers)
 
+    def _look(self) -> None:
+        self._later(LOOK_S, self._look)
+        self._beats.beat(self.platform.monotonic_ns())
+
     def _beat(self) -> None:
         self._later(BEAT_S, self._beat)
         now = self.loop.time()
@@ -269,7 +277,8 @@
     # Clients
 
     def _fresh(self, descriptor: int) -> None:
-        self._deal(words.Fresh(self.platform.monotonic_ns()), descriptor)
+        now = self.platform.monotonic_ns()
+        self._deal(words.Fresh(now - self._beats.may_have_waited(now)), descriptor)
         if len(self._waiting) >= WAITING_MOST and self._ear is not None:
             self._ear.hear(False)
 
--- a/holdgw/cores/worker.py
+++ b/holdgw/cores/worker.py
@@ -124,10 +124,7 @@
                 # lost with this process, and the supervisor's copy be dealt to another from its middle.
                 self._dealt += 1
                 self.link.send(Took(self._dealt))
-                if isinstance(word, Client):
-                    self._adopt(word, descriptor)
-                else:
-                    self._adopt(None, descriptor, max(self.platform.monotonic_ns() - word.since, 0))
+                self._adopt(word if isinstance(word, Client) else None, descriptor, word.since)
                 descriptor = None
             case Listed():
                 listing = self._joiner.take(word)
--- a/holdgw/native.py
+++ b/holdgw/native.py
@@ -30,6 +30,7 @@
     "router/clients.py",
     "router/host.py",
     "router/origin.py",
+    "router/stall.py",
     "router/upstream.py",
     "router/wheel.py",
 )
--- a/holdgw/operation/link.py
+++ b/holdgw/operation/link.py
@@ -43,6 +43,9 @@
     asked: bool
     waited: float
     """Seconds since that command began, or since the connection's last."""
+    since: int = 0
+    """Since when what has not been read may lie there, nanoseconds of the machine's monotonic clock; 0: an
+    elder of another version did not say."""
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -18,6 +18,7 @@
 BACKLOG = 1024  # connections that arrive while the loop is busy
 MAX_PIPELINE = 256  # commands of one connection without an answer; more are left unread
 HIGH_WATER = 64 << 10  # bytes that the kernel did not take, past which nothing more is read for a client
+THERE_S = 0.02  # after a connection came up: what is read later had not waited for this process
 COMMAND_S = 2.3  # in which a command must be whole, and a new connection's first; 3 s are owed
 STALL_S = 3.0  # in which a client must take something of what waits for it
 STREAM_STALL_S = 8.0  # the same in a long value: clients take seconds to read one
@@ -47,6 +48,9 @@
     def client_gone(self, reply: Reply) -> None:
         """The client that waits for this reply has left."""
 
+    def unread_since(self) -> int:
+        """Since when what this process has not read may lie there, nanoseconds of its monotonic clock."""
+
 
 class Source(Protocol):
     """Where a long answer comes from."""
@@ -139,7 +143,8 @@
 
     def __init__(self, server: ClientServer, taken_over: Client | None = None, late: int = 0) -> None:
         self.server = server
-        self.late = late  # nanoseconds for which what is read next may have waited for this process
+        self.late = late  # nanoseconds for which what is there to be read may have waited for this process
+        self._made_at = 0.0
         self._taken_over = taken_over  # what came with it from another process
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()
@@ -159,6 +164,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport, if there is room."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class is no subclass
+        self._made_at = self.server.loop.time()
         self.transport.set_write_buffer_limits(high=HIGH_WATER)
         self.server.opened(self)
         if self._taken_over is not None:
@@ -194,7 +200,8 @@
         # Nothing is read in between: both happen in one turn of the loop, and the copy keeps the socket up.
         descriptor = self.server.copy(transport)
         since = self.begun_at if self._reader.midway else self.used_at
-        told = Client(held, self.asked, max(self.server.loop.time() - since, 0.0))
+        waited = max(self.server.loop.time() - since, 0.0)
+        told = Client(held, self.asked, waited, self.server.host.unread_since())
         self.abort()
         send(told, descriptor)
         return True
@@ -226,6 +233,8 @@
         if self._last or self.closed:
             return
         self.used_at = self.server.loop.time()
+        if self.late and self.used_at - self._made_at > THERE_S:
+            self.late = 0  # it came since
         if not self._reader.midway:
             self.begun_at = self.used_at
         self._reader.feed(data)
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -44,6 +44,7 @@
 from holdgw.router.caches import CacheConnection
 from holdgw.router.clients import Reply
 from holdgw.router.origin import OriginConnection
+from holdgw.router.stall import Beats
 from holdgw.router.upstream import Exchange, Pool
 from holdgw.router.wheel import TimeOut, Wheel
 from holdgw.wire import http, resp
@@ -52,6 +53,7 @@
 
 NS_PER_MS = 1_000_000
 SWEEP_S = 0.02
+LONG_STALL_NS = NS_PER_S  # one that the log tells of
 STREAM_STALL = 8 * NS_PER_S  # in which a server must give something of a long value
 OVERDUE_NS = 10 * NS_PER_MS  # past its deadline, after which a request is answered whatever the module does
 FAILED = b"-ERR failed\r\n"
@@ -332,6 +334,7 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self.wheel = Wheel(loop, now)
+        self._beats = Beats(int(SWEEP_S * NS_PER_S), now())
         self._sweep_soon: asyncio.Handle | None = None
         self._sweep_timer = loop.call_later(SWEEP_S, self._sweep)
         if off:
@@ -366,6 +369,9 @@
         # and the request in the tables. Should also catch waiters of a fetch that never ends. It could do
         # harm only if the module still meant to answer, and by now it is late for that.
         self._sweep_timer = self.loop.call_later(SWEEP_S, self._sweep)
+        stood = self._beats.beat(self.now())
+        if stood > LONG_STALL_NS:
+            log.warning("stood still for %.1f s", stood / NS_PER_S)
         # Danger: after a stall of the loop this runs before the timers that were due meanwhile, and would
         # fail requests that the module is about to refuse. Those timers run before what is called soon.
         self._sweep_soon = self.loop.call_soon(self._answer_overdue)
@@ -377,6 +383,11 @@
             self._answer(request.id, FAILED, Disposition.ABORTED)
             self.tell(ClientGone(request.id))
 
+    def unread_since(self) -> int:
+        """Since when what this process has not read may lie there, nanoseconds of its monotonic clock."""
+        now = self.now()
+        return now - self._beats.may_have_waited(now)
+
     def _timer_fired(self, token: str) -> None:
         self.tell(TimerFired(token))
 
@@ -389,7 +400,11 @@
     def request_arrived(self, command: Command, reply: Reply) -> None:
         """Take a request: from here on it is owed one final answer."""
         request_id = command.id.decode("ascii")
-        info = command.info
+        info, now = command.info, self.now()
+        # Danger: a client counts its time from when it asked. A connection may have waited, unread, for a
+        # process that can serve; to give it the whole time from here on answers too late.
+        late = reply.late or self._beats.may_have_waited(now)
+        deadline = now + info.timeout_ms * NS_PER_MS - late
         fault = self._fault(command)
         if fault:
             reply.fail(fault)
@@ -400,14 +415,10 @@
         ):
             # Danger: two requests under one id would share attempts, and one would have the other's answer.
             reply.fail("duplicate id")
-        elif len(self._requests) >= self._max_open:
+        elif len(self._requests) >= self._max_open or deadline <= now:
             self.refuse(command, reply)
         else:
-            # Danger: a client counts its time from when it asked. A connection may have waited, unread, for a
-            # process that can serve; to give it the whole time from here on answers too late.
-            now = self.now()
-            deadline = now + info.timeout_ms * NS_PER_MS - reply.late
-            request = OpenRequest(request_id, command, reply, deadline, now - reply.late)
+            request = OpenRequest(request_id, command, reply, deadline, now - late)
             reply.request = request
             self._requests[request_id] = request
             if self.tally is not None:
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -210,7 +210,9 @@
         else:
             self._learnt.append(learnt)
 
-    def _adopt(self, told: Client | None, descriptor: int, late: int = 0) -> None:
+    def _adopt(self, told: Client | None, descriptor: int, since: int = 0) -> None:
+        since = told.since if told is not None else since
+        late = max(self.platform.monotonic_ns() - since, 0) if since else 0
         task = self.loop.create_task(self._take_client(told, descriptor, late))
         self._adopting[task] = None
         task.add_done_callback(self._adopted)
--- /dev/null
+++ b/holdgw/router/stall.py
@@ -0,0 +1,31 @@
+"""When a process stood still, and for how long what it reads next may have lain unread; pure."""
+
+from __future__ import annotations
+
+SLACK_NS = 30_000_000  # by which a beat may be late on a busy machine; beyond it the process stood still
+
+
+class Beats:
+    """Beats of a process, `every` so many nanoseconds; times are of its monotonic clock."""
+
+    def __init__(self, every: int, now: int) -> None:
+        self._most = every + SLACK_NS
+        self._last = self._before = now
+
+    def beat(self, now: int) -> int:
+        """One beat; returns the nanoseconds for which the process stood still, 0 where it did not."""
+        self._before, self._last = self._last, now
+        gap = now - self._before
+        return gap if gap > self._most else 0
+
+    def may_have_waited(self, now: int) -> int:
+        """Nanoseconds for which what is read now may have lain unread, since this process stood still."""
+        # Danger: a process that was stopped, or had no core, finds requests whose clients have waited all the
+        # while. Given their whole time from here on, they are answered when nobody waits any more. Should act
+        # on nothing else: the loop reads what is there before a late beat, or in the turn after it. It could
+        # do harm to those that came just as the process went on: they are given too little time.
+        if now - self._last > self._most:
+            return now - self._last
+        if self._last - self._before > self._most:
+            return now - self._before
+        return 0
--- a/holdgw/simulation/cores.py
+++ b/holdgw/simulation/cores.py
@@ -62,6 +62,22 @@
         return len(self._ends)
 
 
+class _InHand:
+    """The connections that a supervisor holds by number; the kernel closes them with its process."""
+
+    def __init__(self, supervisor: Supervisor, descriptors: Descriptors) -> None:
+        self._supervisor, self._descriptors = supervisor, descriptors
+
+    def process_died(self) -> None:
+        """Drop them: a copy that stayed would keep a connection open whose worker has closed it."""
+        for one in self._supervisor.workers.values():
+            while one.copies:
+                self._descriptors.drop(one.copies.popleft()[1])
+        waiting = self._supervisor._waiting
+        while waiting:
+            self._descriptors.drop(waiting.popleft()[1])
+
+
 class SimulatedLink:
     """One end of a link between two processes: what is sent is there at once, and read when it runs."""
 
@@ -349,6 +365,8 @@
         except (ConfigError, CannotFeedError) as error:
             process.faults.append(str(error))
             return 2
+        in_hand = _InHand(supervisor, machine.descriptors)
+        process.open[in_hand] = None
         if harm:
             machine.harm_soon(supervisor)
         try:
@@ -356,6 +374,7 @@
         except OSError as error:
             process.faults.append(str(error))
             return 1
+        process.open.pop(in_hand, None)
         if len(machine.descriptors):
             router.theatre.watch.broke(
                 "left_over", f"{router.name} ended with {len(machine.descriptors)} connections in its hands"
