A laboratory of processes: routers frozen, slowed, cut off and lost, on real sockets and simulated

No test of ours had a fault between two routers; partitions and vanished machines were the simulation's alone.

Change: standins/gates.py cuts a stand-in's lines on real sockets without privileges: a cut listener's queue is kept full, so that the kernel drops every SYN, and bytes are held, one way or both. Routers that share a fate share a line. New troubles in rehearsal and simulation alike: freeze, slow, machine_loss, zone_loss, lossy_peers; partition now also cuts routers from the list service and from one another, by name. standins/relay.py is the way between routers (UDP, a line for each pair: delay, loss, duplicates, reordering, a bound on bytes, one-way cuts), the model shared with the simulation; routers are told peer_listen, peers and peers_all. The checker knows who stood still, whose machine was gone and whose line to discovery was cut; requests lost while a router waited for a core of this machine (read from /proc) are counted apart.

Excluded: network namespaces and packet filters (privileges); a SIGKILL for a lost machine (its kernel would tell everybody).

--- a/holdgw/cli/rehearse.py
+++ b/holdgw/cli/rehearse.py
@@ -130,6 +130,12 @@
         console.print(f"{mark['at']:6.1f} s  {mark['text']}")
     lag = body["emulator"]
     console.print(f"emulator: lag p99 {lag['p99_ms']:g} ms, worst {lag['worst_ms']:g} ms ({lag['worker']})")
+    lab = body["laboratory"]
+    console.print(
+        f"laboratory: {lab['processes']} processes, routers {lab['routers_memory_mb']} MB, all ready after "
+        f"{lab['start_s']['all']:g} s; one waited {lab['waited_for_a_core_s']['worst']:g} s for a core; "
+        f"{body['starved']} requests lost for that"
+    )
     for odd in body["odd"][:5]:
         console.print(f"odd: {odd['at']:.3f} s {odd['server']}: {odd['text']}")
     for one in body["broken"][:20]:
--- a/holdgw/rehearsal/report.py
+++ b/holdgw/rehearsal/report.py
@@ -10,7 +10,16 @@
 from msgspec.structs import replace
 
 from holdgw.rehearsal import counting
-from holdgw.rehearsal.checker import Broken, ClassRule, History, LagVerdict, counts, judge, judge_lag
+from holdgw.rehearsal.checker import (
+    STARVED,
+    Broken,
+    ClassRule,
+    History,
+    LagVerdict,
+    counts,
+    judge,
+    judge_lag,
+)
 from holdgw.rehearsal.counting import Fate, Service, fates, quantile
 from holdgw.rehearsal.day import STORE, Day, zone_of_router, zone_of_server
 from holdgw.rehearsal.routers import Usage
@@ -81,6 +90,35 @@
     }
 
 
+def _laboratory(played: Played) -> dict[str, Any]:
+    """What the laboratory itself took: processes, memory, starts, and cores that were waited for."""
+    latest: dict[float, float] = defaultdict(float)
+    for usage in played.usage.values():
+        for one in usage:
+            latest[round(one.at)] += one.memory
+    lives = played.history.lives
+    took = sorted(life.ready - life.started for life in lives if life.ready is not None)
+    first = [life for life in lives if life.started < played.begun]
+    waits = defaultdict[str, float](float)
+    for router, _, _, waited in played.history.starved:
+        waits[router] += waited
+    return {
+        "processes": played.processes,
+        "routers_memory_mb": round(max(latest.values(), default=0.0) / (1 << 20)),
+        "start_s": {
+            "all": round(max((life.ready or 0.0) for life in first) - min(life.started for life in first), 2)
+            if first
+            else 0.0,
+            "p50": round(quantile(took, 0.5), 2),
+            "worst": round(quantile(took, 1.0), 2),
+        },
+        "waited_for_a_core_s": {
+            "worst": round(max(waits.values(), default=0.0), 2),
+            "all": round(sum(waits.values()), 2),
+        },
+    }
+
+
 def _missing(attempts: Iterable[Attempt]) -> Counter[str]:
     return Counter(attempt.missing for attempt in attempts if attempt.missing)
 
@@ -148,6 +186,11 @@
 
 def judged(day: Day, history: History) -> list[Broken]:
     """All breaks of the four rules on a day, in order of time."""
+    return [one for one in found_wrong(day, history) if one.rule != STARVED]
+
+
+def found_wrong(day: Day, history: History) -> list[Broken]:
+    """All breaks on a day, and requests lost for want of a core, in order of time."""
     classes = day.scenario.classes
     rules = {
         ask.number: ClassRule(cls.effect, cls.window_ms / 1000)
@@ -160,7 +203,8 @@
 def make_report(played: Played) -> Report:
     """Judge and count a played day."""
     day, scenario, history, begun = played.day, played.day.scenario, played.history, played.begun
-    broken = judged(day, history)
+    wrong = found_wrong(day, history)
+    broken = [one for one in wrong if one.rule != STARVED]
     lag = judge_lag(history.lags, scenario.emulator.lag_ms, scenario.emulator.worst_ms, begun)
     found = fates(day.asks, history.tries, begun)
     routers = router_names(scenario.fleet)
@@ -191,6 +235,7 @@
         "failed": total["failed"],
         "service": round(service.service, 4),
         "rules": counts(broken),
+        "starved": len(wrong) - len(broken),
         "p50_ms": total["p50_ms"],
         "p99_ms": total["p99_ms"],
         "origin_fetches": sum(one.server == STORE and not one.idempotency for one in attempts),
@@ -208,6 +253,7 @@
         "seed": day.seed,
         "length_s": scenario.length_s,
         "void": lag.void,
+        "laboratory": _laboratory(played),
         "emulator": {**asdict(lag), "cpu_s": {name: round(cpu, 2) for name, cpu in played.workers.items()}},
         "service_parts": asdict(service),
         "attempts": len(attempts),
--- a/holdgw/rehearsal/stage.py
+++ b/holdgw/rehearsal/stage.py
@@ -37,7 +37,8 @@
     Voided,
 )
 from holdgw.rehearsal.checker import History
-from holdgw.rehearsal.day import Day
+from holdgw.rehearsal.day import PEERS, Day
+from holdgw.rehearsal.deployment import Peers
 from holdgw.rehearsal.routers import (
     RouterProcess,
     Usage,
@@ -49,11 +50,13 @@
 from holdgw.rehearsal.scenario import Scenario, router_names
 from holdgw.rehearsal.timeline import ANSWER_S, StageError, TimeLine
 from holdgw.standins.records import Fallen
+from holdgw.standins.relay import ALL
 
 CLOCK = time.monotonic
 NODES_RATE, CLIENTS_RATE = 500.0, 700.0  # requests a second that one worker is given
 MOST_NODE_WORKERS, MOST_CLIENT_WORKERS = 4, 4
 SAMPLE_S = 1.0
+WAITS_S = 0.1  # how often it is looked how long routers waited for a core
 
 
 @dataclass(slots=True)
@@ -67,6 +70,8 @@
     usage: dict[str, list[Usage]] = field(default_factory=dict)
     workers: dict[str, float] = field(default_factory=dict)
     """CPU seconds of each worker and of the stage."""
+    processes: int = 0
+    """Routers, workers and the stage, at the beginning."""
 
 
 class WorkerProcess:
@@ -248,6 +253,7 @@
         await self._start_routers(scenario, folder)
         self.begin()
         self.spawn(self._sample())
+        self.spawn(self._look_at_waits())
         await self.until_over(partial(progress, self))
         return await self._gather()
 
@@ -266,6 +272,7 @@
             await asyncio.wait_for(worker.finished.wait(), ANSWER_S)
         for router in self.routers.values():
             self.history.lives += router.lives
+            self.history.starved += router.starved
         times = os.times()
         return Played(
             self.day,
@@ -274,6 +281,7 @@
             self.day.scenario.length_s,
             {router.name: router.usage for router in self.routers.values()},
             {**{worker.name: worker.cpu for worker in workers}, "stage": times.user + times.system},
+            len(self.routers) + len(workers) + 1,
         )
 
     async def _end_all(self) -> None:
@@ -293,6 +301,7 @@
         environment = dict(os.environ)
         setups = [("nodes", i, nodes) for i in range(nodes)]
         setups += [("hub", 0, 1), *(("clients", i, clients) for i in range(clients))]
+        setups += [(PEERS, 0, 1)] * scenario.peers.allowed
         for role, index, count in setups:
             worker = WorkerProcess(self, f"{role}{index}")
             self._workers.append(worker)
@@ -300,6 +309,8 @@
                 self.node_workers.append(worker)
             elif role == "hub":
                 self.hub = worker
+            elif role == PEERS:
+                self.relay = worker
             else:
                 self.client_workers.append(worker)
             setup = Setup(role, index, count, worker.name, scenario, self.day.seed, "127.0.0.1")
@@ -328,9 +339,25 @@
             self.routers[name] = RouterProcess(
                 name, self._command, self._root, folder, address, CLOCK, self._router_cores
             )
+        if scenario.peers.allowed:
+            await self._join_peers()
         await asyncio.gather(*(self.start_router(router) for router in self.routers.values()))
         self.open_front()
 
+    async def _join_peers(self) -> None:
+        """Every router is told of the relay's addresses, and of no other router's own."""
+        listens = {name: router.peer for name, router in self.routers.items()}
+        told = await asyncio.wait_for(self.relay.ask("listen", "", listens), ANSWER_S)
+        known = {name: (host, port) for name, (host, port) in told.items()}
+        each = tuple(known[name] for name in self.routers)
+        self.peers = {name: Peers(listen, each, known[ALL]) for name, listen in listens.items()}
+
+    async def _look_at_waits(self) -> None:
+        while True:
+            for router in self.routers.values():
+                router.look_at_waits()
+            await asyncio.sleep(WAITS_S)
+
     async def _sample(self) -> None:
         while True:
             for router in self.routers.values():
--- a/holdgw/rehearsal/timeline.py
+++ b/holdgw/rehearsal/timeline.py
@@ -9,12 +9,13 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from holdgw.rehearsal.channel import Begin, Front, Message, Places
 from holdgw.rehearsal.checker import History, Life
-from holdgw.rehearsal.day import DOORS, STORE, Day, Step
-from holdgw.rehearsal.deployment import configuration
+from holdgw.rehearsal.day import DOORS, NETWORK, PEERS, ROUTERS, STORE, Day, Step, lines_of_routers
+from holdgw.rehearsal.deployment import Peers, configuration
 from holdgw.rehearsal.routers import call_door
 from holdgw.standins.chance import between, unit
 from holdgw.standins.records import Handed
@@ -28,6 +29,7 @@
 KILL_AFTER_S = 0.75  # beyond the longest deadline
 END_S = 5.0
 LOOK_S = 0.2
+SLICE_S = 0.1  # a slow process runs for a part of each
 
 
 class StageError(Exception):
@@ -69,6 +71,9 @@
     def tell(self, number: signal.Signals) -> None:
         """Send a signal."""
 
+    def lose(self) -> None:
+        """Its machine is gone, with all that was on it, and silent until it is started again."""
+
     def last_words(self) -> str:
         """The last line of its log."""
 
@@ -77,12 +82,22 @@
         """Whether its process runs."""
 
 
+@dataclass(slots=True)
+class Standing:
+    """A router's process that stands still: since when, in which of its lives, and for how many reasons."""
+
+    since: float
+    start: int
+    reasons: int = 0
+
+
 class TimeLine:
     """Carries out a day's steps. Whoever plays the day fills in who is there."""
 
     node_workers: Sequence[Worker]
     client_workers: Sequence[Worker]
     hub: Worker
+    relay: Worker
     routers: dict[str, Any]
     history: History
 
@@ -92,7 +107,11 @@
         self.home: dict[str, Worker] = {}  # of each node
         self.places: dict[str, dict[str, Address]] = {}
         self.discovery: dict[str, Address] = {}
+        self.peers: dict[str, Peers] = {}
+        """What each router is told of the others; empty where they are not allowed to speak."""
         self._restarting: set[str] = set()
+        self._lost: dict[str, float] = {}  # routers whose machines are gone, and since when
+        self._standing: dict[str, Standing] = {}  # routers whose processes stand still
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Do something beside all else; a fault in it ends the day."""
@@ -147,6 +166,7 @@
 
     async def until_ended(self) -> None:
         """Have all routers end in good order, and those that don't, anyhow."""
+        self.end_troubles()
         running = [router for router in self.routers.values() if router.running]
         for router in running:
             router.tell(signal.SIGTERM)
@@ -178,6 +198,7 @@
             self.discovery[router.name],
             known,
             router.ops,
+            self.peers.get(router.name),
         )
         router.configure(told)
 
@@ -216,6 +237,12 @@
         elif verb == "stall":
             group = self.node_workers if target == "nodes" else self.client_workers
             await asyncio.gather(*(worker.ask("stall", "", args) for worker in group))
+        elif target == ROUTERS:
+            await self._router_trouble(verb, self.routers[args["router"]], args)
+        elif target == NETWORK:
+            await self._network_trouble(verb, args)
+        elif target == PEERS:
+            await self._peers_trouble(verb, args)
         elif target == DOORS:
             await asyncio.gather(
                 *(self._call(router, verb == "out", args["node"]) for router in self.routers.values())
@@ -227,6 +254,108 @@
         else:
             await self._change_node(verb, target, args)
 
+    # Routers that stand still, and machines that are gone
+
+    async def _router_trouble(self, verb: str, router: RouterLife, args: dict[str, Any]) -> None:
+        if verb == "stop":
+            self.hold(router)
+        elif verb == "continue":
+            self.let_go(router)
+        elif verb == "slow":
+            await self._slow(router, args["seconds"], args["run_ms"] / 1000)
+        elif verb == "lose":
+            self._lose(router)
+        elif verb == "return":
+            await self._return(router)
+        else:
+            raise ValueError(f"no such thing to do to a router: {verb}")
+
+    def hold(self, router: RouterLife) -> None:
+        """Have its process stand still; reasons that overlap end with the last one."""
+        if not router.running:
+            return
+        standing = self._standing.get(router.name)
+        if standing is None or standing.start != router.starts:
+            standing = self._standing[router.name] = Standing(self.clock(), router.starts)
+            router.tell(signal.SIGSTOP)
+        standing.reasons += 1
+
+    def let_go(self, router: RouterLife) -> None:
+        """One reason less to stand still; it goes on with the last."""
+        standing = self._standing.get(router.name)
+        if standing is None:
+            return
+        standing.reasons -= 1
+        if standing.reasons > 0:
+            return
+        del self._standing[router.name]
+        if standing.start == router.starts:
+            until = self.clock()
+            self.history.stops.append((router.name, standing.since, until))
+            router.tell(signal.SIGCONT)
+
+    async def _slow(self, router: RouterLife, seconds: float, run_s: float) -> None:
+        until = self.clock() + seconds
+        while self.clock() < until:
+            self.hold(router)
+            await asyncio.sleep(SLICE_S - run_s)
+            self.let_go(router)
+            await asyncio.sleep(run_s)
+
+    def _lose(self, router: RouterLife) -> None:
+        if not router.running or router.name in self._restarting:
+            return
+        self._restarting.add(router.name)
+        self._lost[router.name] = self.clock()
+        router.lose()
+        self.spawn(self._front_notices(router.name))
+
+    async def _return(self, router: RouterLife) -> None:
+        since = self._lost.pop(router.name, None)
+        if since is None:
+            return  # it was being restarted when its machine was to be lost
+        try:
+            await self.start_router(router)
+        finally:
+            self._restarting.discard(router.name)
+        self.history.gone.append((router.name, since, self.clock()))
+        self._front(router.name, True)
+
+    def end_troubles(self) -> None:
+        """Whatever still stands still goes on; what is lost for good is told."""
+        for name, standing in list(self._standing.items()):
+            standing.reasons = 1
+            self.let_go(self.routers[name])
+        for name, since in self._lost.items():
+            self.history.gone.append((name, since, float("inf")))
+
+    # Lines
+
+    async def _network_trouble(self, verb: str, args: dict[str, Any]) -> None:
+        if "node" in args and args["node"] not in self.home:
+            return  # a trouble chose a node whose own start lies later
+        if verb == "partition":
+            line_of = lines_of_routers(self.day.scenario, self.day.seed)
+            lines = sorted({line_of[name] for name in args["routers"]})
+            words = {name: args[name] for name in ("servers", "way", "seconds")} | {"lines": lines}
+            parts = [*self.node_workers, *([self.hub] if STORE in args["servers"] else [])]
+            await asyncio.gather(*(part.ask("partition", "", words) for part in parts))
+        elif verb == "deafen":
+            await self.hub.ask("deafen", "", args)
+        elif verb == "vanish":
+            await self.home[args["node"]].ask("vanish", args["node"], args)
+        elif verb == "noticed":
+            await self.list_state("removed", args["node"])
+        elif verb == "return":
+            await self.home[args["node"]].ask("start", args["node"])
+            await self.list_state("up", args["node"])
+        else:
+            raise ValueError(f"only the simulation can have the network {verb}")
+
+    async def _peers_trouble(self, verb: str, args: dict[str, Any]) -> None:
+        if self.peers:
+            await self.relay.ask(verb, "", args)
+
     async def _call(self, router: RouterLife, out: bool, node: str) -> None:
         """Staff call at one router's door, and believe it only when it says yes."""
         path = "/maintenance/enter" if out else "/maintenance/exit"
@@ -280,6 +409,8 @@
 
     async def _reload(self, router: RouterLife) -> None:
         """A new file names another address of discovery, and SIGHUP has it read."""
+        if not router.running:
+            return
         host, port = await asyncio.wait_for(self.hub.ask("move", router.name), ANSWER_S)
         self.discovery[router.name] = (host, port)
         await self._configure(router)
--- a/holdgw/rehearsal/troubles.py
+++ b/holdgw/rehearsal/troubles.py
@@ -18,11 +18,13 @@
 
 
 class _Simulated(_Trouble, frozen=True, kw_only=True):
-    """A trouble that only simulated lines and processes can have."""
+    """A trouble that only simulated lines and clocks can have."""
 
 
 Nodes = Count | tuple[str, ...]
 """So many nodes, drawn by the seed, or these by name."""
+Routers = Count | tuple[str, ...]
+"""So many routers, drawn by the seed, or these by name."""
 
 
 class Pause(_Trouble, frozen=True, kw_only=True, tag="pause"):
@@ -178,22 +180,73 @@
     where: Literal["nodes", "clients"] = "nodes"
 
 
-class Partition(_Simulated, frozen=True, kw_only=True, tag="partition"):
+class Partition(_Trouble, frozen=True, kw_only=True, tag="partition"):
     """Nothing comes through between routers and nodes; `way`: both ways, or only to or from the nodes. With a
-    `zone`, that zone's routers and nodes are cut off from those of the others, and `nodes` and `routers` say
-    nothing.
+    `zone`, that zone's routers and nodes are cut off from those of the others, routers from routers too, and
+    `nodes`, `routers` and `peers` say nothing.
     """
 
     seconds: Positive
-    nodes: Nodes | Literal["all"] = 1
-    routers: Annotated[int, Meta(ge=0)] = 0
-    """0: all of them."""
+    nodes: Annotated[int, Meta(ge=0)] | tuple[str, ...] | Literal["all"] = 1
+    routers: Annotated[int, Meta(ge=0)] | tuple[str, ...] = 0
+    """So many, drawn by the seed, or these by name; 0: all of them."""
     way: Literal["both", "to", "from"] = "both"
     store: bool = False
+    discovery: bool = False
+    """From the list service as well; with a `zone`, those routers that it does not stand beside."""
+    peers: Annotated[int, Meta(ge=0)] | tuple[str, ...] = 0
+    """From so many other routers, or these by name."""
     zone: str = ""
 
 
-class Vanish(_Simulated, frozen=True, kw_only=True, tag="vanish"):
+class Freeze(_Trouble, frozen=True, kw_only=True, tag="freeze"):
+    """Routers' processes stand still (SIGSTOP), and go on with all they believed; their kernels go on."""
+
+    seconds: Positive
+    routers: Routers = 1
+
+
+class Slow(_Trouble, frozen=True, kw_only=True, tag="slow"):
+    """Routers' processes run for `run_ms` of each 100 ms."""
+
+    seconds: Positive
+    routers: Routers = 1
+    run_ms: Annotated[int, Meta(ge=1, le=99)] = 20
+
+
+class MachineLoss(_Trouble, frozen=True, kw_only=True, tag="machine_loss"):
+    """Routers' machines are gone with all that was on them, and their addresses are silent. They come back
+    empty under their old names after `down_s`, or, with 0, never.
+    """
+
+    routers: Routers = 1
+    down_s: AtLeast0 = 0.0
+
+
+class ZoneLoss(_Trouble, frozen=True, kw_only=True, tag="zone_loss"):
+    """Every machine of a zone is gone without a word, nodes and routers; the list hears of the nodes after
+    `notice_s`. All come back after `seconds`, cold and empty.
+    """
+
+    zone: str
+    seconds: Positive
+    notice_s: AtLeast0 = 2.0
+
+
+class LossyPeers(_Trouble, frozen=True, kw_only=True, tag="lossy_peers"):
+    """Lines from router to router are bad: shares of the datagrams are lost, come twice, or come up to
+    `late_ms` late and so behind later ones; `bytes_per_s` bounds each line, 0: not at all.
+    """
+
+    seconds: Positive
+    loss: Share = 0.0
+    duplicates: Share = 0.0
+    reordered: Share = 0.0
+    late_ms: AtLeast0 = 50.0
+    bytes_per_s: AtLeast0 = 0.0
+
+
+class Vanish(_Trouble, frozen=True, kw_only=True, tag="vanish"):
     """Nodes' machines are gone without a word; the list hears of it after `notice_s`. They come back cold."""
 
     seconds: Positive
@@ -227,7 +280,7 @@
     """Of connections made meanwhile: the bytes that kernels hold of one direction; 0: as usual."""
 
 
-class RouterStop(_Simulated, frozen=True, kw_only=True, tag="router_stop"):
+class RouterStop(_Trouble, frozen=True, kw_only=True, tag="router_stop"):
     """Routers' processes stand still, as by SIGSTOP; their kernels go on."""
 
     seconds: Annotated[float, Meta(gt=0, le=0.3)]
@@ -270,6 +323,11 @@
     | Weather
     | RouterStop
     | ClockJump
+    | Freeze
+    | Slow
+    | MachineLoss
+    | ZoneLoss
+    | LossyPeers
 )
 
 
@@ -279,8 +337,10 @@
 
 
 def only_simulated(trouble: Trouble) -> bool:
-    """Whether real sockets can't play it."""
+    """Whether real sockets and processes can't play it."""
     return isinstance(trouble, _Simulated)
 
 
+STORM_ONLY = ("isolate",)
+"""Kinds that a storm may name, and that are drawn as others: routers cut off from some of all there is."""
 KINDS: tuple[str, ...] = tuple(str(one.__struct_config__.tag) for one in Trouble.__args__)
--- a/holdgw/simulation/network.py
+++ b/holdgw/simulation/network.py
@@ -17,6 +17,7 @@
 from holdgw.simulation.process import Process
 from holdgw.simulation.transports import DatagramEnd, Listener, TcpEnd
 from holdgw.simulation.world import NS_PER_S, World
+from holdgw.standins.relay_model import RelayModel
 
 Address = tuple[str, int]
 
@@ -109,6 +110,10 @@
         """Told of an end that writes though its program was told that the other side has ended."""
         self.on_held: Callable[[Host, Host, int, int], None] = lambda _a, _b, _sent, _comes: None
         """Told of a segment that the network held back: from, to, when it was written and when it comes."""
+        self.peers: RelayModel | None = None
+        """The lines between routers, where they may speak to one another; datagrams go by these then."""
+        self.groups: dict[Address, list[Address]] = {}
+        """Addresses at which several are reached."""
         self._line = line
         self._lines: dict[tuple[Host, Host], tuple[int, int]] = {}
         self._hosts: dict[str, Host] = {}
@@ -147,9 +152,9 @@
     def arrival(self, a: Host, b: Host, again_ns: int = SEND_AGAIN_NS) -> int:
         """When a segment sent now comes in, with what is lost being sent again until it comes."""
         at = self.world.now + self.delay(a, b)
-        if a is b or a.fair or b.fair:
+        if a is b:
             return at
-        loss = self.weather.loss
+        loss = 0.0 if a.fair or b.fair else self.weather.loss
         while loss and self._random.random() < loss:
             at += again_ns
             again_ns *= 2
@@ -385,10 +390,18 @@
 
     def send_datagram(self, end: DatagramEnd, data: bytes, remote: Address) -> None:
         """A datagram on its way: it may be lost, come twice, or late."""
+        for one in self.groups.get(remote, ()):
+            if one != end.address:
+                self.send_datagram(end, data, one)
         other = self._hosts.get(remote[0])
         here, weather, draw = end.process.host, self.weather, self._random.random
         if other is None or here.silent or self.is_blocked(here, other):
             return
+        if self.peers is not None:
+            now = self.world.now
+            for delay in self.peers.carries(now / NS_PER_S, here.name, other.name, len(data)):
+                self.world.at(now + int(delay * NS_PER_S), None, self._datagram_comes, (end, data, remote))
+            return
         for _ in range(2 if weather.double and draw() < weather.double else 1):
             if weather.drop and draw() < weather.drop:
                 continue
--- a/holdgw/simulation/storms.py
+++ b/holdgw/simulation/storms.py
@@ -93,10 +93,34 @@
     },
     "router_stop": lambda r, s: {"seconds": _seconds(r, 0.01, 0.3), "routers": _routers(r, s)},
     "clock_jump": lambda r, s: {"by_s": _seconds(r, -3600, 3600), "routers": _routers(r, s)},
+    "freeze": lambda r, s: {"seconds": _seconds(r, 0.3, 5), "routers": _routers(r, s)},
+    "slow": lambda r, s: {
+        "seconds": _seconds(r, 1, 5), "routers": _routers(r, s), "run_ms": r.randint(10, 60)
+    },
+    "machine_loss": lambda r, s: {
+        "routers": _routers(r, s), "down_s": r.choice((0.0, _seconds(r, 0.5, 5)))
+    },
+    "zone_loss": lambda r, s: {"seconds": _seconds(r, 2, 6), "zone": r.choice(s.fleet.zones)},
+    "lossy_peers": lambda r, s: {
+        "seconds": _seconds(r, 1, 6),
+        "loss": round(r.uniform(0, 0.5), 2),
+        "duplicates": round(r.uniform(0, 0.3), 2),
+        "reordered": round(r.uniform(0, 0.5), 2),
+        "bytes_per_s": r.choice((0.0, 2000.0)),
+    },
+    "isolate": lambda r, s: {
+        "kind": "partition",
+        "seconds": _seconds(r, 0.5, 8),
+        "nodes": r.choice(((), _some(r, s))),
+        "routers": _routers(r, s),
+        "way": r.choice(("both", "to", "from")),
+        "discovery": r.random() < 0.5,
+        "peers": r.choice((0, _routers(r, s))),
+    },
 }  # fmt: skip
 
 
-ASKED_FOR = ("by_hand",)
+ASKED_FOR = ("by_hand", "freeze", "slow", "machine_loss", "zone_loss", "lossy_peers", "isolate")
 """Drawn only in storms that name them: each kind more would change what every seed of the others draws."""
 
 
--- a/holdgw/standins/discovery.py
+++ b/holdgw/standins/discovery.py
@@ -13,7 +13,8 @@
 
 import orjson
 
-from holdgw.standins.records import Had, Odd, Told, Witness
+from holdgw.standins.gates import GatedConnection, Way
+from holdgw.standins.records import Deaf, Had, Odd, Told, Witness
 from holdgw.standins.registry_model import Entry, RegistryModel, State
 from holdgw.standins.shell import Alarm, Clock, Host, Listeners, reset
 from holdgw.wire.address import Address, format_address
@@ -37,6 +38,7 @@
         self._wait: asyncio.TimerHandle | None = None
         self._index = 0
         self.watching = False
+        self.left = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -84,8 +86,13 @@
     def answer(self, reset: bool, entries: list[Entry]) -> None:
         """Write the list, and remember what this router has been told by it."""
         self._stop_waiting()
-        if self.transport is not None:
-            self.transport.write(response(200, self.server.body(self.router, reset, entries)))
+        if self.transport is None:
+            return
+        answer = response(200, self.server.body(self.router, reset, entries))
+        if isinstance(self.transport, GatedConnection):
+            self.transport.write(answer, lambda: self.server.told(self, reset, entries))
+        else:
+            self.transport.write(answer)
             self.server.told(self, reset, entries)
 
     def fail(self) -> None:
@@ -116,15 +123,17 @@
         clock: Clock,
         ip: str = "127.0.0.1",
         call_s: float = 0.0,
+        gated: bool = False,
     ) -> None:
         self.model, self.loop = model, asyncio.get_running_loop()
         self.connections: dict[_Connection, None] = {}
         self._routers, self._where, self._witness, self._clock = list(routers), where, witness, clock
-        self._ip, self._call_s = ip, call_s
+        self._ip, self._call_s, self._gated = ip, call_s, gated
         self._listeners: dict[str, Listeners] = {}
         self._known: dict[str, dict[str, None]] = {}  # what each router was told to be there
         self._alarm = Alarm(self.loop, clock, self._rings)
         self._down_until = float("-inf")
+        self._cut: dict[str, tuple[Way, float]] = {}  # each router's line: which way, and until when
         self._free_at = float("-inf")  # when the one service has worked off the calls so far
 
     async def start(self) -> dict[str, Address]:
@@ -135,7 +144,7 @@
 
     async def listen(self, router: str) -> Address:
         """Listen for a router at a new address; the one before takes no new connection, and closes later."""
-        listeners = Listeners(Host(self._ip))
+        listeners = Listeners(Host(self._ip, gated=self._gated), self._clock)
         await listeners.open(lambda _: _Connection(self, router))
         old = self._listeners.get(router)
         if old is not None:
@@ -143,13 +152,16 @@
             for connection in [one for one in self.connections if one.router == router]:
                 self.loop.call_later(OLD_ADDRESS_S, connection.abort)
         self._listeners[router] = listeners
+        way, until = self._cut.get(router, ("both", 0.0))
+        if until > self._clock():
+            listeners.block(way, until - self._clock())
         return listeners.addresses[""]
 
     def close(self) -> None:
         """The day is over."""
         self._alarm.close()
         for listeners in self._listeners.values():
-            listeners.close()
+            listeners.end()
         for connection in list(self.connections):
             connection.abort()
 
@@ -184,6 +196,13 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def block(self, router: str, way: Way, seconds: float) -> None:
+        """Cut the line between a router and discovery for so long."""
+        now = self._clock()
+        self._cut[router] = way, now + seconds
+        self._listeners[router].block(way, seconds)
+        self._witness.saw(Deaf(router, now, now + seconds))
+
     # Calls
 
     def called(self, connection: _Connection, query: dict[str, str]) -> None:
--- a/holdgw/standins/records.py
+++ b/holdgw/standins/records.py
@@ -33,6 +33,8 @@
     """The first on its connection."""
     work: float = 0.0
     """Core-seconds, if it ran."""
+    left: float = 0.0
+    """When it was sent, where a cut line held it back; 0: none did."""
 
 
 class Told(msgspec.Struct, array_like=True, tag="told"):
@@ -56,6 +58,14 @@
     at: float
 
 
+class Deaf(msgspec.Struct, array_like=True, tag="deaf"):
+    """The line between a router and discovery is cut, from when to when."""
+
+    router: str
+    at: float
+    until: float
+
+
 class Handed(msgspec.Struct, array_like=True, tag="handed"):
     """A router said yes to staff who take a server out by hand, or call it back."""
 
@@ -141,7 +151,7 @@
     kept: int
 
 
-Record = Attempt | Told | Had | Handed | Fallen | Odd | Try | Extra | Lag | Flushed
+Record = Attempt | Told | Had | Deaf | Handed | Fallen | Odd | Try | Extra | Lag | Flushed
 
 
 class Witness(Protocol):
--- a/holdgw/standins/store.py
+++ b/holdgw/standins/store.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from typing import cast
 from urllib.parse import unquote_to_bytes
 
 from holdgw.standins.chance import lognormal, unit
 from holdgw.standins.faults import HTTP_NOISE, Fault, Shares
+from holdgw.standins.gates import Way
 from holdgw.standins.node import Workload, made_for
 from holdgw.standins.records import Attempt, Odd, Witness
 from holdgw.standins.shell import Alarm, Clock, Host, Listeners, after, reset
@@ -26,6 +28,8 @@
         self.transport: asyncio.Transport | None = None
         self.order: Order | None = None
         self.at = 0.0
+        self.left = 0.0  # when what comes now was sent, where a cut line held it back
+        self.left_at = 0.0
         self.fresh = True
         self.gone = False
         self._reader = RequestReader(MAX_BODY)
@@ -85,7 +89,7 @@
         self.model = StoreModel(spec, clock())
         self._windows = windows  # class -> seconds for which repeats of its writes are dropped
         self._witness = witness
-        self._listeners = Listeners(host)
+        self._listeners = Listeners(host, clock)
         self._connections: dict[StoreConnection, None] = {}
         self._alarm = Alarm(self.loop, clock, self._rings)
         self._serial = 0
@@ -119,8 +123,13 @@
                 self._record(connection, connection.order, "open")
                 connection.order = None
         self.down()
+        self._listeners.end()
         self._alarm.close()
 
+    def block(self, way: Way, seconds: float, lines: Iterable[str] | None = None) -> None:
+        """Cut lines to it, or all of them, for so long."""
+        self._listeners.block(way, seconds, lines)
+
     def slow(self, factor: float) -> None:
         """Everything takes so many times as long."""
         self._ended(self.model.slow(self.clock(), factor))
@@ -142,7 +151,7 @@
 
     def request(self, connection: StoreConnection, request: HttpRequest) -> None:
         """One request is whole."""
-        connection.at = self.clock()
+        connection.at, connection.left_at = self.clock(), connection.left
         order = self._order(request)
         if order is None:
             connection.write(response(400))
@@ -241,5 +250,6 @@
                 idempotency=order.idempotency.decode("latin-1"),
                 fresh=fresh,
                 work=order.work,
+                left=connection.left_at,
             )
         )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 from hypothesis import settings
 
 LONGEST_FIRST = (
+    "test_faults",
     "test_native",
     "test_standing",
     "test_simulation_cores",
