--- a/holdgw/rehearsal/timeline.py
+++ b/holdgw/rehearsal/timeline.py
@@ -290,9 +290,9 @@
             return
         del self._standing[router.name]
         if standing.start == router.starts:
-            until = self.clock()
-            self.history.stops.append((router.name, standing.since, until))
             router.tell(signal.SIGCONT)
+        ended = router.lives[standing.start - 1].exited  # it may have been killed as it stood
+        self.history.stops.append((router.name, standing.since, self.clock() if ended is None else ended))
 
     async def _slow(self, router: RouterLife, seconds: float, run_s: float) -> None:
         until = self.clock() + seconds
--- a/holdgw/simulation/play.py
+++ b/holdgw/simulation/play.py
@@ -14,7 +14,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Any, cast
 
 import orjson
 
@@ -220,12 +220,17 @@
 
     def told(self, connection: _Connection, whole: bool, entries: list[Entry]) -> None:
         """Remember what was written once it comes: a cut line holds it back."""
-        comes = self.theatre.list_comes.get(connection.router, 0.0) - self._clock()
-        if comes > 0:
-            self.loop.call_later(comes, super().told, connection, whole, entries)
+        written, comes = self.theatre.list_comes.get(connection.router, (0.0, 0.0))
+        if written == self._clock():
+            self.loop.call_later(comes - written, self._come, connection, whole, entries)
         else:
             self.loop.call_soon(super().told, connection, whole, entries)
 
+    def _come(self, connection: _Connection, whole: bool, entries: list[Entry]) -> None:
+        # What comes on a connection that its router has closed meanwhile tells nobody anything.
+        if not cast(TcpEnd, connection.transport).peer.shut:
+            super().told(connection, whole, entries)
+
 
 class _Hub(_Seen, HubPart):
     def make_discovery(self, model: RegistryModel, routers: list[str], call_s: float) -> DiscoveryServer:
@@ -392,8 +397,8 @@
         self._names: dict[Host, list[str]] = {}  # of nodes that came to the same address one after the other
         self._weathers: dict[int, dict[str, Any]] = {}
         self._cuts: dict[int, Cut] = {}
-        self.list_comes: dict[str, float] = {}
-        """When what discovery wrote to a router last comes there, where a cut line held it back."""
+        self.list_comes: dict[str, tuple[float, float]] = {}
+        """When discovery last wrote to a router what a cut line held back, and when that comes there."""
         scenario = day.scenario
         self._host("stage", "", "10.0.0.1").sheltered = True
         self._host(CLIENTS, "", "10.0.0.2").steady = True
@@ -470,7 +475,7 @@
 
     def _held_back(self, a: Host, b: Host, sent: int, comes: int) -> None:
         if a.name == DISCOVERY:
-            self.list_comes[b.name] = comes / NS_PER_S
+            self.list_comes[b.name] = self.clock(), comes / NS_PER_S
         for name in self._names.get(b, (b.name,)):
             self.history.held[name, comes / NS_PER_S] = sent / NS_PER_S
 
--- a/holdgw/standins/gates.py
+++ b/holdgw/standins/gates.py
@@ -211,7 +211,7 @@
                 self._held -= len(data)
                 if self._transport is not None and not self._transport.is_closing():
                     self._transport.write(data)
-                then()
+                    then()
             self._carry_out_end()
         if not self._gate.holds("to"):
             while self._came:
