Routers can know who of their tier is there: SWIM with local health, pure, and its datagrams

No process of ours knows another router.

Excluded: plain heartbeats (bytes grow with R) and a full mesh (R squared). Two faults were found by the tests first: a router that can speak and hears nobody accused the whole tier (it accuses nobody now), and by pings alone a contradiction of a 2.5 s freeze came later than the suspicions ran out.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -41,6 +41,21 @@
 
 
 MUTANTS: dict[str, Mutant] = {
+    "stall-forgotten": Mutant(
+        "what is read after the process stood still is given its whole time",
+        "holdgw.router.stall",
+        "        if now - self._last > self._most:\n            return now - self._last\n"
+        "        if self._last - self._before > self._most:\n            return now - self._before\n",
+        "",
+        scenario="bench/scenarios/laboratory-storm.toml",
+    ),
+    "stall-not-handed-on": Mutant(
+        "a worker that stood still hands connections on as if all on them had been read",
+        "holdgw.router.clients",
+        "Client(held, self.asked, waited, self.server.host.unread_since())",
+        "Client(held, self.asked, waited)",
+        scenario="bench/scenarios/cores-storm.toml",
+    ),
     "doubled-answer": Mutant(
         "an answer is given twice after a late reset",
         "holdgw.router.host",
--- a/holdgw/cli/rehearse.py
+++ b/holdgw/cli/rehearse.py
@@ -129,7 +129,10 @@
     for mark in body["troubles"]:
         console.print(f"{mark['at']:6.1f} s  {mark['text']}")
     lag = body["emulator"]
-    console.print(f"emulator: lag p99 {lag['p99_ms']:g} ms, worst {lag['worst_ms']:g} ms ({lag['worker']})")
+    console.print(
+        f"emulator: lag p99 {lag['p99_ms']:g} ms, worst {lag['worst_ms']:g} ms "
+        f"({lag['worker']}, {lag['worst_at']:g} s)"
+    )
     lab = body["laboratory"]
     console.print(
         f"laboratory: {lab['processes']} processes, routers {lab['routers_memory_mb']} MB, all ready after "
--- a/holdgw/rehearsal/checker.py
+++ b/holdgw/rehearsal/checker.py
@@ -426,6 +426,8 @@
     worst_ms: float
     worker: str
     void: str = ""
+    worst_at: float = 0.0
+    """On the emulator's clock, at the end of the stretch in which it was."""
 
 
 def judge_lag(
@@ -449,4 +451,4 @@
         why = f"{late.worker} was {late.worst * 1000:.0f} ms late once, over {worst_ms:g}"
     elif p99 > p99_ms:
         why = f"the 99th percentile of its lag is {p99:g} ms, over {p99_ms:g}"
-    return LagVerdict(p99, round(late.worst * 1000, 2), late.worker, why)
+    return LagVerdict(p99, round(late.worst * 1000, 2), late.worker, why, late.at)
--- a/holdgw/rehearsal/report.py
+++ b/holdgw/rehearsal/report.py
@@ -254,7 +254,11 @@
         "length_s": scenario.length_s,
         "void": lag.void,
         "laboratory": _laboratory(played),
-        "emulator": {**asdict(lag), "cpu_s": {name: round(cpu, 2) for name, cpu in played.workers.items()}},
+        "emulator": {
+            **asdict(lag),
+            "worst_at": round(lag.worst_at - begun, 2),
+            "cpu_s": {name: round(cpu, 2) for name, cpu in played.workers.items()},
+        },
         "service_parts": asdict(service),
         "attempts": len(attempts),
         "tries": len(tries),
--- /dev/null
+++ b/holdgw/simulation/tier.py
@@ -0,0 +1,116 @@
+"""A tier of memberships alone, over the relay's lines: thousands of routers in simulated time."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+
+from holdgw.peers import datagram
+from holdgw.peers.datagram import State
+from holdgw.peers.membership import NS_PER_S, Membership, Send, Timing
+from holdgw.standins.relay_model import RelayModel
+
+TICK_NS = 100_000_000
+
+
+class Tier:
+    """So many routers; `stopped` ones neither tick nor take anything, and read what came when they go on."""
+
+    def __init__(self, members: int, seed: int, relay: RelayModel, timing: Timing | None = None) -> None:
+        self.now, self.relay, self.seed, self.timing = 0, relay, seed, timing
+        self.random = random.Random(f"{seed}/tier")
+        self.size = members
+        self.members: list[Membership | None] = [None] * members
+        self.stopped: dict[int, list[bytes]] = {}
+        self.bytes: dict[int, int] = defaultdict(int)
+        self.sent: dict[int, int] = defaultdict(int)
+        self.starts = 0
+        self.on_change: Callable[[int, int, State], None] = lambda _at, _number, _state: None
+        """Told of what a router holds another to be from now on."""
+        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = count()
+        for number in range(members):
+            self.start(number)
+
+    def at(self, when: int, act: Callable[[], None]) -> None:
+        """Do something at a time, nanoseconds."""
+        heappush(self._heap, (when, next(self._order), act))
+
+    def start(self, number: int) -> None:
+        """A new process for this router: it knows nothing."""
+        self.starts += 1
+        seed = hash((self.seed, number, self.starts)) & 0x7FFFFFFF
+        member = Membership(number, self.size, number % 3, seed, self.now, self.timing)
+        self.members[number] = member
+        self.stopped.pop(number, None)
+        self.at(self.now + int(self.random.random() * TICK_NS), lambda: self._tick(number, member))
+
+    def kill(self, number: int) -> None:
+        """Its process is gone without a word."""
+        self.members[number] = None
+        self.stopped.pop(number, None)
+
+    def stop(self, number: int) -> None:
+        """Its process stands still."""
+        self.stopped.setdefault(number, [])
+
+    def go_on(self, number: int) -> None:
+        """It goes on, with what came meanwhile still to be read."""
+        for data in self.stopped.pop(number, []):
+            self._comes(number, data)
+
+    def leave(self, number: int) -> None:
+        """It ends in good order."""
+        member = self.members[number]
+        if member is not None:
+            self._send(number, member.leave(self.now))
+            self.kill(number)
+
+    def _tick(self, number: int, member: Membership) -> None:
+        if self.members[number] is not member:
+            return
+        self.at(self.now + TICK_NS, lambda: self._tick(number, member))
+        if number not in self.stopped:
+            self._send(number, member.tick(self.now))
+            self._look(number, member)
+
+    def _look(self, number: int, member: Membership) -> None:
+        for change in member.changes():
+            self.on_change(number, change.number, change.now)
+
+    def _send(self, number: int, sends: list[Send]) -> None:
+        for send in sends:
+            self.say(number, send.to, datagram.write(send.message))
+
+    def say(self, number: int, to: int, data: bytes) -> None:
+        """Send bytes from one router to another, whatever they are."""
+        self.bytes[number] += len(data)
+        self.sent[number] += 1
+        names = (f"router{number:02d}", f"router{to:02d}")
+        for delay in self.relay.carries(self.now / NS_PER_S, *names, len(data)):
+            self.at(self.now + int(delay * NS_PER_S), lambda: self._comes(to, data))
+
+    def _comes(self, number: int, data: bytes) -> None:
+        if number in self.stopped:
+            self.stopped[number].append(data)
+            return
+        member = self.members[number]
+        if member is None:
+            return
+        try:
+            message = datagram.read(data, self.size)
+        except datagram.UnreadableError:
+            return
+        self._send(number, member.took(message, self.now))
+        self._look(number, member)
+
+    def run(self, seconds: float) -> None:
+        """Go on for so long."""
+        until = self.now + int(seconds * NS_PER_S)
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, act = heappop(self._heap)
+            act()
+        self.now = until
