--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,6 +1,6 @@
 """What the membership costs and how soon it learns: `python -m bench.membership [--sizes 20 200 2000]`.
 
-In simulated time, memberships alone over the lines of the relay: deaths, with and without 5 % of datagrams lost;
+In simulated time, memberships alone over the relay's lines: deaths, with and without 5 % of datagrams lost;
 no death, 5 % lost and a tenth of the routers slow (they run 20 ms of each 100).
 """
 
--- a/holdgw/cores/worker.py
+++ b/holdgw/cores/worker.py
@@ -76,6 +76,7 @@
         sockets=config.sockets // shares,
         ops=None,
         passed=None,
+        tier=None,
         known=None,
     )
 
--- a/holdgw/operation/figures.py
+++ b/holdgw/operation/figures.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -50,8 +50,10 @@
                 self.results[name, disposition] += count
         self.forwards += forwards
 
-    def text(self, outstanding: int, discovered: int, ejected: int) -> bytes:
-        """Write all figures down."""
+    def text(
+        self, outstanding: int, discovered: int, ejected: int, peers: Mapping[str, int] | None = None
+    ) -> bytes:
+        """Write all figures down; `peers`: how many routers of the tier are held to be what."""
         lines = ["# TYPE lb_results counter"]
         for (name, disposition), count in self.results.items():
             escaped = name.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
@@ -65,6 +67,9 @@
             ("sighup_rejected", "counter", self.reloads_rejected),
         ):
             lines += [f"# TYPE lb_{name} {kind}", f"lb_{name} {value}"]
+        if peers:
+            lines += ["# TYPE lb_peers gauge"]
+            lines += [f'lb_peers{{state="{state}"}} {count}' for state, count in peers.items()]
         if self.off:
             lines += ["# TYPE lb_off gauge", *(f'lb_off{{part="{part}"}} 1' for part in self.off)]
         return "\n".join([*lines, ""]).encode()
--- a/holdgw/rehearsal/day.py
+++ b/holdgw/rehearsal/day.py
@@ -358,7 +358,7 @@
                 steps.append(Step(trouble.at, "down", "discovery", {"seconds": trouble.seconds}))
                 text = "discovery down"
             case t.RouterRestart():
-                picked = rng.sample(routers, trouble.routers)
+                picked = _picked(rng, routers, trouble.routers)
                 for i, name in enumerate(picked):
                     at = trouble.at + i // trouble.together * trouble.gap_s
                     step = Step(at, "restart", name, {"signal": trouble.signal})
--- a/holdgw/rehearsal/report.py
+++ b/holdgw/rehearsal/report.py
@@ -272,6 +272,11 @@
             {"rule": one.rule, "at": round(one.at - begun, 3), "requests": one.requests, "text": one.text}
             for one in broken[:MOST_BROKEN]
         ],
+        "starved_requests": [
+            {"at": round(one.at - begun, 3), "requests": one.requests, "text": one.text}
+            for one in wrong
+            if one.rule == STARVED
+        ][:MOST_BROKEN],
         "odd": [
             {"server": one.server, "at": round(one.at - begun, 3), "text": one.text}
             for one in history.odd[:MOST_BROKEN]
--- a/holdgw/rehearsal/troubles.py
+++ b/holdgw/rehearsal/troubles.py
@@ -161,7 +161,7 @@
     between so many `together` and the next ones.
     """
 
-    routers: Count = 1
+    routers: Routers = 1
     signal: Literal["TERM", "KILL"] = "TERM"
     gap_s: AtLeast0 = 0.0
     together: Count = 1
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -18,6 +18,7 @@
 from holdgw.operation.roster import Roster
 from holdgw.operation.takeover import Hand, Takeover
 from holdgw.operation.tally import Tally
+from holdgw.peers.talk import Talk
 from holdgw.policy import Learnt, ListKind
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.clients import ClientServer
@@ -78,6 +79,10 @@
             self._adopt,
             self._processes_changed,
         )
+        self.talk: Talk | None = None
+        """This router among its peers, where it has any."""
+        if config.tier is not None:
+            self.talk = Talk(loop, config.tier, config.seed, now)
         self._adopting: dict[asyncio.Task[None], None] = {}
         self._leaving = False
         self._terminated = asyncio.Event()
@@ -132,14 +137,20 @@
         if config.ops is not None:
             await self.door.listen(config.ops)
         await self._open(listening)
+        if self.talk is not None:
+            self.talk.start()
         make_do = loop.call_later(READY_S, self._make_do) if config.known is not None else None
         await self._terminated.wait()
         self._leaving = True
+        if self.talk is not None and self._successor is None:
+            self.talk.leave()
         await self._drain()
         if make_do is not None:
             make_do.cancel()
         if self._tally_timer is not None:
             self._tally_timer.cancel()
+        if self.talk is not None:
+            self.talk.close()
         self.takeover.close()
         self.door.close()
         self.clients.close()
@@ -178,7 +189,8 @@
     def figures(self) -> bytes:
         """The figures as text."""
         host, roster = self.host, self.roster
-        return host.figures.text(host.outstanding, roster.discovered, roster.avoided(host.avoided()))
+        peers = self.talk.states() if self.talk is not None else {}
+        return host.figures.text(host.outstanding, roster.discovered, roster.avoided(host.avoided()), peers)
 
     def leave_out(self, server_id: str) -> None:
         """Take a cache server out by hand; raises UnknownServerError."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -15,7 +15,7 @@
     "wire": set(),
     "peers": set(),
     "operation": {"policy", "wire"},
-    "router": {"operation", "policy", "wire"},
+    "router": {"operation", "peers", "policy", "wire"},
     "cores": {"operation", "policy", "router", "wire"},
     "standins": {"wire"},
     "rehearsal": {"standins", "wire"},
@@ -78,7 +78,7 @@
     script = "import sys, holdgw.router.__main__; print('\\n'.join(sys.modules))"
     loaded = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True).stdout
     mine = {name for name in loaded.split() if name.startswith("holdgw.")}
-    assert rooms(mine) <= {"operation", "policy", "wire", "router"}
+    assert rooms(mine) <= {"operation", "peers", "policy", "wire", "router"}
     others = {name.split(".")[0] for name in loaded.split()} - set(sys.stdlib_module_names) - {"holdgw"}
     assert not others & {"typer", "rich", "click", "matplotlib"}
     assert {name for name in others if not name.startswith("_")} & LEAN >= {"hiredis", "uvloop"}
