Many routers that each see little make one picture, and the decisions go by it

A router of 100 that sees 6 requests a second takes every key that it has seen twice for a hot one, spreads it over many servers, and misses; and hears of a server's load when it happens to ask it.

Change: where the settings allow peers, the module notes what it sees (waits that servers report, requests by slot); peers/talk.py tells four others of it every 0.3 s, and hands the module what all see as one event. A wait newer than the server's own last word is taken as a report is, as of its age; a slot's share is that of all requests once these are 100. Whether a server can be reached is judged by own attempts alone. lb_picture in the figures.

--- a/holdgw/operation/figures.py
+++ b/holdgw/operation/figures.py
@@ -51,9 +51,16 @@
         self.forwards += forwards
 
     def text(
-        self, outstanding: int, discovered: int, ejected: int, peers: Mapping[str, int] | None = None
+        self,
+        outstanding: int,
+        discovered: int,
+        ejected: int,
+        peers: Mapping[str, int] | None = None,
+        picture: Mapping[str, int] | None = None,
     ) -> bytes:
-        """Write all figures down; `peers`: how many routers of the tier are held to be what."""
+        """Write all figures down; `peers`: how many routers of the tier are held to be what; `picture`: how
+        many routers and requests were heard of lately, and servers that there is word of.
+        """
         lines = ["# TYPE lb_results counter"]
         for (name, disposition), count in self.results.items():
             escaped = name.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
@@ -67,9 +74,10 @@
             ("sighup_rejected", "counter", self.reloads_rejected),
         ):
             lines += [f"# TYPE lb_{name} {kind}", f"lb_{name} {value}"]
-        if peers:
-            lines += ["# TYPE lb_peers gauge"]
-            lines += [f'lb_peers{{state="{state}"}} {count}' for state, count in peers.items()]
+        for name, label, counts in (("peers", "state", peers), ("picture", "of", picture)):
+            if counts:
+                lines += [f"# TYPE lb_{name} gauge"]
+                lines += [f'lb_{name}{{{label}="{word}"}} {count}' for word, count in counts.items()]
         if self.off:
             lines += ["# TYPE lb_off gauge", *(f'lb_off{{part="{part}"}} 1' for part in self.off)]
         return "\n".join([*lines, ""]).encode()
--- a/holdgw/peers/picture.py
+++ b/holdgw/peers/picture.py
@@ -194,6 +194,11 @@
                 counts[slot] = counts.get(slot, 0.0) + weight * min(count, one.requests)
         return {slot: count / total for slot, count in counts.items()} if total else {}, total
 
+    @property
+    def routers(self) -> int:
+        """Routers that were heard when shares were last counted."""
+        return len(self._heard)
+
     def demand(self, now: int) -> dict[str, float]:
         """Each tenant's calls for the origin a second, by the mean router that was heard."""
         rates: dict[str, list[float]] = {}
--- a/holdgw/peers/talk.py
+++ b/holdgw/peers/talk.py
@@ -4,16 +4,21 @@
 
 import asyncio
 import logging
+import random
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
-from holdgw.peers import datagram
+from holdgw.peers import datagram, news
 from holdgw.peers.datagram import State
 from holdgw.peers.membership import NS_PER_S, Membership, Send
+from holdgw.peers.picture import Picture
 
 Address = tuple[str, int]
 TICK_S = 0.1
+TELL_TICKS = 3  # from one telling of what was seen to the next
+TOLD = 4  # others, each time
 BYTES_PER_S = 8000.0  # that this router says at most, whatever happens; well, it says some 100
 BURST = 4000.0
 BIND_AGAIN_S = 0.5  # the process that this one takes over from may hold the address still
@@ -31,6 +36,19 @@
     zone: int = 0
 
 
+class Owner(Protocol):
+    """The router that talks."""
+
+    def sights(self) -> tuple[dict[str, tuple[float, int]], dict[int, int]]:
+        """What it saw since the last call: servers' waits and as of when (ns), and requests by slot."""
+
+    def demands(self) -> dict[str, float]:
+        """Each tenant's calls for the origin a second."""
+
+    def picture(self, waits: dict[str, tuple[float, int]], shares: dict[int, float], rests_on: float) -> None:
+        """Take what all see together: waits and their ages (ns), slots' shares and the requests behind."""
+
+
 class _Ear(asyncio.DatagramProtocol):
     """The socket's side."""
 
@@ -48,9 +66,19 @@
     """This router among its peers; its owner closes it."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, tier: Tier, seed: int, now: Callable[[], int]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        tier: Tier,
+        seed: int,
+        now: Callable[[], int],
+        owner: Owner,
+        tenants: Iterable[str] = (),
     ) -> None:
         self.membership = Membership(tier.me, len(tier.each), tier.zone, seed, now())
+        self.picture = Picture(tier.me, self.membership.life, tenants)
+        self._owner = owner
+        self._random = random.Random(seed ^ tier.me)
+        self._tell_in = TELL_TICKS
         self.dropped: Counter[str] = Counter()
         """Datagrams that were not read, or not sent, by why."""
         self.bytes = 0
@@ -85,17 +113,45 @@
 
     def _tick(self) -> None:
         self._timer = self._loop.call_later(TICK_S, self._tick)
-        self._say(self.membership.tick(self._now()))
+        now = self._now()
+        self._say(self.membership.tick(now))
+        self._tell_in -= 1
+        if self._tell_in <= 0:
+            self._tell_in = TELL_TICKS
+            self._tell(now)
         for change in self.membership.changes():
             if max(change.before, change.now) > State.SUSPECTED:
                 log.info("peers: router %d is %s", change.number, change.now.name.lower())
 
+    def _tell(self, now: int) -> None:
+        """Tell some what was seen here, and the router what all have seen."""
+        waits, asked = self._owner.sights()
+        for server, (wait, at) in waits.items():
+            self.picture.saw(server, int(wait), at)
+        for slot, count in asked.items():
+            for _ in range(count):
+                self.picture.asked(slot)
+        data = news.write(self.picture.news(now, self._owner.demands))
+        others = [number for number in self.membership.present() if number != self._tier.me]
+        for number in self._random.sample(others, min(TOLD, len(others))):
+            self._send(number, data)
+        shares, rests_on = self.picture.shares(now)
+        loads = {name: (float(load.wait), load.age) for name, load in self.picture.loads(now).items()}
+        self._owner.picture(loads, shares, rests_on)
+
     def _came(self, data: bytes, sender: Address) -> None:
         number = self._numbers.get(sender)
         if number is None:
             self.dropped["stranger"] += 1
             return
         try:
+            if news.is_news(data):
+                told = news.read(data, len(self._tier.each))
+                if told.sender == number:
+                    self.picture.heard(told, self._now())
+                else:
+                    self.dropped["forged"] += 1
+                return
             message = datagram.read(data, len(self._tier.each))
         except datagram.UnreadableError as error:
             self.dropped[str(error)] += 1
@@ -107,15 +163,17 @@
         self._say(self.membership.took(message, self._now()))
 
     def _say(self, sends: Sequence[Send]) -> None:
+        for send in sends:
+            self._send(send.to, datagram.write(send.message))
+
+    def _send(self, to: int, data: bytes) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        for send in sends:
-            data = datagram.write(send.message)
-            if not self._has_room(len(data)):
-                self.dropped["bound"] += 1
-                continue
-            self.bytes += len(data)
-            self._transport.sendto(data, self._tier.each[send.to])
+        if not self._has_room(len(data)):
+            self.dropped["bound"] += 1
+            return
+        self.bytes += len(data)
+        self._transport.sendto(data, self._tier.each[to])
 
     def _has_room(self, size: int) -> bool:
         now = self._now()
@@ -131,6 +189,13 @@
         counts = Counter(member.state for member in self.membership.members)
         return {state.name.lower(): counts[state] for state in State}
 
+    def heard(self) -> dict[str, int]:
+        """Routers and requests heard of lately, and servers that there is word of."""
+        now = self._now()
+        _, requests = self.picture.shares(now)
+        servers = len(self.picture.loads(now))
+        return {"routers": self.picture.routers, "requests": int(requests), "servers": servers}
+
     def leave(self) -> None:
         """This router ends in good order; others are told."""
         self._say(self.membership.leave(self._now()))
--- a/holdgw/policy/interface.py
+++ b/holdgw/policy/interface.py
@@ -130,6 +130,8 @@
     unread: tuple[tuple[str, str], ...] = ()
     """Parts of the decisions that are off for words that could not be read, each with the reason."""
     workers: int = 1
+    peers: bool = False
+    """Whether routers may speak to one another: then what this one saw is noted for others."""
     worker: int = 0
     """This module's number among the workers of one router, which share its limits."""
 
@@ -212,8 +214,20 @@
     shares: dict[str, float]
 
 
+class PictureChanged(Struct, frozen=True, gc=False):
+    """What many routers see together; news comes some times a second, and is as old as it says."""
+
+    waits: dict[str, tuple[float, int]]
+    """By server: how long an answer takes there by its load reports, and the age of that word, both ns."""
+    shares: dict[int, float]
+    """Of all requests, by slot; what is not named is too small to tell."""
+    rests_on: float
+    """Requests that the shares are counted from."""
+
+
 Event = (
     SharesChanged
+    | PictureChanged
     | ServersChanged
     | RequestArrived
     | StreamStarted
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -63,6 +63,8 @@
 BOUND_AIM = 0.8  # a wait by its report, of the aim, past which a server is sent less in proportion
 COLD_EXCESS = 0.42  # of the multiple at which it falls: what it can do is known by the others' load only
 COLD_BURST = 2.0  # attempts that a cold server may be sent at once
+PICTURE_LEAST = 100.0  # requests from which many routers' shares of slots tell more than one's own
+SIGHTS_MOST = 1024  # slots noted for other routers between two tellings
 SENT_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
 ON_THE_WAY = NS_PER_S // 20  # from when a request is written until it is there, at most
 REGAIN = 60 * NS_PER_S  # time in which a chance comes back by itself, where answers are too few to bring it
@@ -88,7 +90,7 @@
         self.bad = 0.0  # smoothed share of answers that are late, full or missing
         self.bound = math.inf  # of that, past which it is sent less
         # What an answer takes there by its last load report, and as of when.
-        self.wait, self._told_at = 0.0, 0
+        self.wait, self.told_at = 0.0, 0
         self.share, self._shared_at = 1.0, 0  # the part of its slots that it keeps, and as of when
         self.room, self.room_at = COLD_BURST, 0  # attempts that it may be sent while cold, and as of when
 
@@ -111,12 +113,12 @@
         """
         self.wait = wait
         if wait > most:
-            elapsed = min(now - self._told_at, SHED_MOST) / NS_PER_S
+            elapsed = min(now - self.told_at, SHED_MOST) / NS_PER_S
             self.share = max(
                 self.share * math.exp(-SHED_RATE * min(wait / most - 1.0, 2.0) * elapsed), LEAN_FLOOR
             )
             self._shared_at = now
-        self._told_at = now
+        self.told_at = now
 
     def lean(self, now: int) -> None:
         """Give up some of the slots: a request met it over its load, and another server could take it."""
@@ -136,7 +138,7 @@
 
     def waits(self, now: int) -> float:
         """What an answer takes there by its last report, which says less with each second."""
-        return self.wait * math.pow(0.5, (now - self._told_at) / NS_PER_S)
+        return self.wait * math.pow(0.5, (now - self.told_at) / NS_PER_S)
 
     def recall(self, learnt: api.LearntServer, now: int) -> None:
         """Go on from what another process found out."""
@@ -424,6 +426,9 @@
         self._origin_bad = 0.0  # smoothed share of bad fetches
         self._origin_broke = 0  # its connections that broke since its last answer
         self._asking, self._failed_calls = False, 0
+        self._shares: dict[int, float] | None = None  # of slots, as many routers see them
+        self._sights: dict[str, tuple[float, int]] = {}  # by server: its reported wait, and as of when
+        self._asked: dict[int, int] = {}  # requests by slot, for other routers
         self._now = 0
         self._actions: list[api.Action] = []
         self.given_up: dict[str, int] = {}  # requests refused or failed, by the reason
@@ -442,6 +447,8 @@
                 for tenant, share in event.shares.items():
                     if tenant in self._guards and share > 0:
                         self._guards[tenant].resize(share)
+            case api.PictureChanged():
+                self._picture(event)
             case api.StreamStarted() if event.request in self._requests:
                 self._stream_started(self._requests[event.request])
             case api.TimerFired():
@@ -558,6 +565,10 @@
             self._fetch(request)
         else:
             request.share = self._heat.add(request.slot)
+            if self._shares is not None:
+                request.share = self._shares.get(request.slot, 0.0)
+            if self._settings.peers and len(self._asked) < SIGHTS_MOST:
+                self._asked[request.slot] = self._asked.get(request.slot, 0) + 1
             guard.excess = (self._usage.add(event.tenant or "") / max(guard.portion, 0.001)) ** 2
             self._route(request)
 
@@ -796,9 +807,35 @@
         assert self._fields is not None
         latency, queue = load[self._fields[0]], load[self._fields[1]]
         wait = latency * 1e6 * (1.0 + queue / QUEUE_SLOTS)
+        if self._settings.peers:
+            self._sights[node.entry.id] = wait, self._now
+        self._heard(node, wait, self._now)
+
+    def _heard(self, node: Node, wait: float, at: int) -> None:
+        """A server's wait, by its own report or by what others were told, as of then."""
         self._usual_wait += (wait - self._usual_wait) / 32 if self._usual_wait else wait
         node.bound = self._aim * BOUND_AIM
-        node.told(wait, self._most_wait(), self._now)
+        node.told(wait, self._most_wait(), at)
+
+    def _picture(self, event: api.PictureChanged) -> None:
+        """Take what many routers see: waits that are newer than what is held, and shares that rest on enough.
+
+        Danger: one router of two hundred sees a hot key once in ten seconds, and takes a key that it has seen
+        twice for one. It could do harm where others lie, or are cut off: hence a server's word to this router
+        goes before older ones, whether a server can be reached is judged by own attempts alone, and shares
+        that rest on too little count for nothing.
+        """
+        for name, (wait, age) in event.waits.items():
+            node, at = self._caches.nodes.get(name), self._now - age
+            if node is not None and at > node.told_at:
+                self._heard(node, wait, at)
+        self._shares = event.shares if event.rests_on >= PICTURE_LEAST else None
+
+    def sights(self) -> tuple[dict[str, tuple[float, int]], dict[int, int]]:
+        """What this router saw since the last call, for others: servers' waits, and requests by slot."""
+        seen = self._sights, self._asked
+        self._sights, self._asked = {}, {}
+        return seen
 
     def _most_wait(self) -> float:
         """The reported wait past which a server is over its load."""
--- a/holdgw/policy/settings.py
+++ b/holdgw/policy/settings.py
@@ -93,6 +93,7 @@
         weighted=facts.get("weightKind") in _SIZED_WEIGHTS,
         must_subscribe=facts.get("membershipMode") == "subscribe",
         load_fields=tuple((facts.get("feedback") or {}).get("fields") or ()),
+        peers=bool(ceilings.get("peers")),
         unread=_unread(facts, family.get("mode"), kinds, origin),
         **{key: value for key, value in optional.items() if value is not None},
     )
--- a/holdgw/rehearsal/day.py
+++ b/holdgw/rehearsal/day.py
@@ -32,6 +32,7 @@
 DOORS = "doors"  # the target of what staff call for at every router
 LINE_MARK = "+"  # behind a zone's name, in the name of one of its lines
 USUAL, SCAN, HOT, BURST, PRELUDE = "usual", "scan", "hot_caller", "burst", "prelude"
+HOT_KEY = "hot_key"
 QUOTA_WINDOW_S = 1.0
 
 
@@ -175,6 +176,11 @@
         for i, trouble in enumerate(scenario.trouble)
         if isinstance(trouble, t.HotCaller)
     ]
+    hot_keys = [
+        (trouble, drawing(i, trouble), _generator(seed, f"hot_key{drawing(i, trouble)}"))
+        for i, trouble in enumerate(scenario.trouble)
+        if isinstance(trouble, t.HotKey)
+    ]
     portions = [tenants[0], *(b - a for a, b in itertools.pairwise(tenants))]
     most = scenario.peak
     used: list[list[float]] = [
@@ -213,6 +219,14 @@
             scan.at <= at < scan.at + scan.seconds and u_scan < scan.share for scan in scans
         ):
             key, source = b"once-%08d" % number, SCAN
+        for hot_key, place, own in hot_keys:
+            wanted, which = own.random(), own.randrange(hot_key.keys)
+            if (
+                scenario.classes[cls].effect == "safe"
+                and hot_key.at <= at < hot_key.at + hot_key.seconds
+                and wanted < hot_key.share
+            ):
+                key, source = b"hot-%04d-%04d" % (place, which), HOT_KEY
         for trouble, through in hot:
             if trouble.at <= at < trouble.at + trouble.seconds and u_hot < trouble.share:
                 source, router = HOT, through[int(u_hot_router * len(through))]
@@ -319,6 +333,8 @@
                 text = f"{trouble.share:.0%} of the keys flushed"
             case t.Scan():
                 text = f"scan: {trouble.share:.0%} of the reads"
+            case t.HotKey():
+                text = f"{trouble.keys} keys get {trouble.share:.0%} of the reads"
             case t.HotCaller():
                 through = _generator(seed, f"hot{place}").sample(routers, trouble.routers)
                 text = f"hot caller: {trouble.share:.0%} through {', '.join(through)}"
--- a/holdgw/rehearsal/troubles.py
+++ b/holdgw/rehearsal/troubles.py
@@ -88,6 +88,14 @@
     share: Share
 
 
+class HotKey(_Trouble, frozen=True, kw_only=True, tag="hot_key"):
+    """Keys that nobody wanted get a share of all reads, from one moment to the next, and then none."""
+
+    seconds: Positive
+    share: Share
+    keys: Count = 1
+
+
 class HotCaller(_Trouble, frozen=True, kw_only=True, tag="hot_caller"):
     """One caller sends a share of all traffic through few routers."""
 
@@ -328,6 +336,7 @@
     | MachineLoss
     | ZoneLoss
     | LossyPeers
+    | HotKey
 )
 
 
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -471,6 +471,10 @@
         """The cache servers that the module leaves out by choice."""
         return self._router.avoided()
 
+    def sights(self) -> tuple[dict[str, tuple[float, int]], dict[int, int]]:
+        """What the module saw since the last call, for other routers."""
+        return self._router.sights()
+
     def learnt(self) -> Learnt:
         """What the module has learnt, for another process of this router."""
         return self._router.learnt(self.now())
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -19,7 +19,7 @@
 from holdgw.operation.takeover import Hand, Takeover
 from holdgw.operation.tally import Tally
 from holdgw.peers.talk import Talk
-from holdgw.policy import Learnt, ListKind
+from holdgw.policy import Learnt, ListKind, PictureChanged
 from holdgw.policy.interface import NS_PER_S
 from holdgw.router.clients import ClientServer
 from holdgw.router.config import Config, ConfigError, load_config
@@ -82,7 +82,8 @@
         self.talk: Talk | None = None
         """This router among its peers, where it has any."""
         if config.tier is not None:
-            self.talk = Talk(loop, config.tier, config.seed, now)
+            tenants = (tenant.name for tenant in config.settings.tenants)
+            self.talk = Talk(loop, config.tier, config.seed, now, self, tenants)
         self._adopting: dict[asyncio.Task[None], None] = {}
         self._leaving = False
         self._terminated = asyncio.Event()
@@ -111,7 +112,7 @@
         self.pool.set_limit(for_servers)
 
     def _take(self, listing: Listing) -> None:
-        self.host.servers_changed(self.roster.take(listing))
+        self._show(self.roster.take(listing))
         self._make_do()
 
     def _make_do(self) -> None:
@@ -132,7 +133,7 @@
         if config.known is not None:
             known = read_listing(config.known, self.clock, ListKind.CACHED)
             self.discovery.know(known.generation)
-            self.host.servers_changed(self.roster.take(known))
+            self._show(self.roster.take(known))
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         if config.ops is not None:
             await self.door.listen(config.ops)
@@ -180,6 +181,20 @@
         }
         return {**own, **self.host.tables(), **self.pool.tables()}
 
+    # What its peers want to know, and tell
+
+    def sights(self) -> tuple[dict[str, tuple[float, int]], dict[int, int]]:
+        """What the module saw since the last call."""
+        return self.host.sights()
+
+    def demands(self) -> dict[str, float]:
+        """Each tenant's calls for the origin a second."""
+        return self.host.demands()
+
+    def picture(self, waits: dict[str, tuple[float, int]], shares: dict[int, float], rests_on: float) -> None:
+        """Hand on what all routers see together."""
+        self.host.tell(PictureChanged(waits, shares, rests_on))
+
     # What operators call for at the door
 
     def can_serve(self) -> bool:
@@ -190,7 +205,10 @@
         """The figures as text."""
         host, roster = self.host, self.roster
         peers = self.talk.states() if self.talk is not None else {}
-        return host.figures.text(host.outstanding, roster.discovered, roster.avoided(host.avoided()), peers)
+        heard = self.talk.heard() if self.talk is not None else {}
+        return host.figures.text(
+            host.outstanding, roster.discovered, roster.avoided(host.avoided()), peers, heard
+        )
 
     def leave_out(self, server_id: str) -> None:
         """Take a cache server out by hand; raises UnknownServerError."""
@@ -207,6 +225,8 @@
     def _show(self, news: Listing | None) -> None:
         if news is not None:
             self.host.servers_changed(news)
+            if self.talk is not None:
+                self.talk.picture.know(self.pool.listed())
 
     # What another process of this router says
 
--- a/holdgw/simulation/network.py
+++ b/holdgw/simulation/network.py
@@ -418,6 +418,8 @@
             return
         end = self._endpoints.get(remote)
         if end is None:
+            if sender.remote is None:
+                return  # only a connected socket is told
             at = self.world.now + self.delay(host, sender.process.host)
             self.world.at(at, sender.process, sender.was_refused)
             return
--- a/holdgw/simulation/storms.py
+++ b/holdgw/simulation/storms.py
@@ -101,6 +101,9 @@
         "routers": _routers(r, s), "down_s": r.choice((0.0, _seconds(r, 0.5, 5)))
     },
     "zone_loss": lambda r, s: {"seconds": _seconds(r, 2, 6), "zone": r.choice(s.fleet.zones)},
+    "hot_key": lambda r, s: {
+        "seconds": _seconds(r, 1, 6), "share": round(r.uniform(0.02, 0.3), 2), "keys": r.choice((1, 1, 10))
+    },
     "lossy_peers": lambda r, s: {
         "seconds": _seconds(r, 1, 6),
         "loss": round(r.uniform(0, 0.5), 2),
@@ -120,7 +123,7 @@
 }  # fmt: skip
 
 
-ASKED_FOR = ("by_hand", "freeze", "slow", "machine_loss", "zone_loss", "lossy_peers", "isolate")
+ASKED_FOR = ("by_hand", "freeze", "slow", "machine_loss", "zone_loss", "lossy_peers", "isolate", "hot_key")
 """Drawn only in storms that name them: each kind more would change what every seed of the others draws."""
 
 
--- a/tests/processes/test_peers.py
+++ b/tests/processes/test_peers.py
@@ -12,7 +12,7 @@
 from holdgw.rehearsal.day import draw
 from holdgw.rehearsal.report import make_report
 from holdgw.rehearsal.scenario import read_scenario
-from holdgw.rehearsal.stage import play
+from holdgw.rehearsal.stage import Stage, play
 from tests.processes.test_faults import DAY, ROOT, ROUTER, kept
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("processes")]
@@ -68,3 +68,57 @@
         assert ("6", "left") in words, (name, words)
         assert ("6", "alive") in words, (name, words)  # without a clock or a disk
     assert not [word for words in said.values() for word in words if word[1] == "gone" and word[0] != "7"]
+
+
+ALONE = """
+[peers]
+allowed = true
+[[trouble]]
+kind = "partition"
+at = 0.1
+seconds = 30
+nodes = 0
+routers = ["router00"]
+peers = 7
+[[trouble]]
+kind = "freeze"
+at = 1.0
+seconds = 1.0
+routers = ["router05"]
+"""
+
+
+async def figures(address: tuple[str, int]) -> dict[str, float]:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(b"GET /status/metrics HTTP/1.1\r\nHost: a\r\n\r\n")
+    text = (await reader.read()).decode()
+    writer.close()
+    return {name: float(value) for name, value in re.findall(r"^(lb_\S+) (\S+)$", text, re.MULTILINE)}
+
+
+def test_routers_make_one_picture_and_one_that_is_cut_off_has_its_own() -> None:
+    """Read at every router's door amid the day, once what was heard before the cut is forgotten."""
+    seen: dict[str, dict[str, float]] = {}
+
+    async def scene() -> None:
+        stages: list[Stage] = []
+        late = asyncio.Event()
+
+        def progress(stage: Stage, at: float) -> None:
+            stages[:] = [stage]
+            if at > 11.0:
+                late.set()
+
+        day = draw(read_scenario(DAY.format(length=12.5) + ALONE, "test"), 1)
+        playing = asyncio.create_task(play(day, ROUTER, ROOT, progress))
+        await asyncio.wait_for(late.wait(), 60.0)
+        for name, router in stages[0].routers.items():
+            seen[name] = await asyncio.wait_for(figures(router.ops), 20.0)
+        kept(make_report(await asyncio.wait_for(playing, 90.0)))
+
+    uvloop.run(scene())
+    assert seen["router00"]['lb_picture{of="routers"}'] == 0
+    for name in (f"router0{i}" for i in range(1, 8)):
+        assert seen[name]['lb_picture{of="routers"}'] >= 5, seen[name]
+        assert seen[name]['lb_picture{of="servers"}'] == 9
+        assert seen[name]['lb_picture{of="requests"}'] > 2 * seen["router00"]['lb_picture{of="requests"}']
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,128 @@
+"""What the decisions make of a picture that many routers see together, and what they note for it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from zlib import crc32
+
+from holdgw.policy import PictureChanged, Router
+from holdgw.policy.logic import PICTURE_LEAST, SIGHTS_MOST, SLOTS
+from holdgw.rehearsal.scenario import read_scenario
+from holdgw.simulation.search import play_seed
+from tests.helpers import MS, S, fleet, request, settings, started
+from tests.test_large_fleet import REPORTS, serve
+
+SERVERS = fleet(20)
+KNOWN = {**REPORTS, "peers": True}
+ENOUGH = 2 * PICTURE_LEAST
+
+
+def slot(key: str) -> int:
+    return crc32(key.encode()) % SLOTS
+
+
+def owners(router: Router, key: str, now: int) -> set[str]:
+    """The servers that a key's requests go to, one router asking forty times."""
+    return {serve(router, f"{key}-{now}-{i}", key, now + i * 30 * MS, {}) for i in range(40)}
+
+
+def test_a_key_hot_for_all_is_spread_by_one_that_sees_it_for_the_first_time() -> None:
+    router = started(settings(**KNOWN), SERVERS)
+    first = {serve(router, "a", "hot", 0, {})}
+    router.handle(PictureChanged({}, {slot("hot"): 0.1}, ENOUGH), 0)
+    assert first < owners(router, "hot", S)
+    assert 5 <= len(owners(router, "hot", 3 * S)) <= 8  # 0.1 of 20 servers' load, a quarter of a server each
+
+
+def test_a_key_that_one_router_alone_sees_often_is_no_hot_one() -> None:
+    router = started(settings(**KNOWN), SERVERS)
+    assert len(owners(router, "mine", S)) > 5  # all that this router was asked for
+    router.handle(PictureChanged({}, {slot("hot"): 0.1}, ENOUGH), 3 * S)
+    assert len(owners(router, "mine", 3 * S)) == 1
+
+
+def test_shares_that_rest_on_too_little_count_for_nothing_and_so_do_those_that_end() -> None:
+    router = started(settings(**KNOWN), SERVERS)
+    router.handle(PictureChanged({}, {}, PICTURE_LEAST - 1), 0)
+    assert len(owners(router, "mine", S)) > 5
+    router.handle(PictureChanged({}, {}, ENOUGH), 3 * S)
+    assert len(owners(router, "mine", 3 * S)) == 1
+    router.handle(PictureChanged({}, {}, 0.0), 6 * S)  # cut off from all others
+    assert len(owners(router, "mine", 6 * S)) > 5
+
+
+def test_news_older_than_a_servers_own_word_is_no_news() -> None:
+    router = started(settings(**KNOWN), SERVERS)
+    name = serve(router, "a", "k", 0, {SERVERS[i].id: (30.0, 0.0) for i in range(20)})
+    node = router._caches.nodes[name]
+    own, at = node.wait, node.told_at
+    router.handle(PictureChanged({name: (900.0 * MS, 2 * S)}, {}, ENOUGH), at + S)
+    assert (node.wait, node.told_at) == (own, at)
+    router.handle(PictureChanged({name: (900.0 * MS, S // 2)}, {}, ENOUGH), at + S)
+    assert (node.wait, node.told_at) == (900.0 * MS, at + S // 2)
+    assert node.share < 1.0  # it gives slots up by what others were told
+
+
+def test_the_same_old_news_again_and_again_sheds_no_further() -> None:
+    router = started(settings(**KNOWN), SERVERS)
+    node = router._caches.nodes[SERVERS[3].id]
+    for i in range(1, 30):
+        router.handle(PictureChanged({SERVERS[3].id: (900.0 * MS, i * S // 3)}, {}, ENOUGH), S + i * S // 3)
+    assert node.told_at == S
+    assert node.share > 0.3  # of one word, whatever its repeats
+
+
+def test_a_picture_says_nothing_of_who_can_be_reached() -> None:
+    router = started(settings(**KNOWN), SERVERS)
+    node = router._caches.nodes[SERVERS[3].id]
+    node.down, node._chance = True, -0.02
+    router.handle(PictureChanged({SERVERS[3].id: (1.0 * MS, 0), "unknown": (1.0, 0)}, {}, ENOUGH), S)
+    assert node.down
+    assert node._chance < 0
+
+
+def test_what_was_seen_is_told_once_and_bounded() -> None:
+    router = started(settings(**KNOWN), SERVERS)
+    seen = Counter(serve(router, f"r{i}", f"k{i % 3}", i * 30 * MS, {}) for i in range(9))
+    waits, asked = router.sights()
+    assert waits.keys() == seen.keys()
+    assert all(wait > 0 for wait, _ in waits.values())
+    assert asked == {slot(f"k{i}"): 3 for i in range(3)}
+    assert router.sights() == ({}, {})
+    for i in range(2 * SIGHTS_MOST):
+        router.handle(request(f"x{i}", 0, tenant=None, key=f"x{i}"), 0)
+    assert len(router.sights()[1]) <= SIGHTS_MOST
+
+
+def test_a_router_without_peers_notes_nothing() -> None:
+    router = started(settings(**REPORTS), SERVERS)
+    serve(router, "a", "k", 0, {})
+    assert router.sights() == ({}, {})
+
+
+def test_many_routers_that_see_little_serve_more_together() -> None:
+    """Simulated, 40 routers at 6 requests a second each over 20 servers: a day with and without peers."""
+    text = """
+name = "x"
+length_s = 7.0
+[load]
+rate = 240.0
+[fleet]
+nodes = 20
+routers = 40
+[store]
+per_s = 120.0
+[emulator]
+prelude_s = 1.0
+prelude_keys = 1500
+[peers]
+allowed = {}
+"""
+    fetched = {}
+    for peers in ("true", "false"):
+        outcome = play_seed(read_scenario(text.format(peers), "x"), 3)
+        assert not outcome.failed, (outcome.fault, outcome.broken[:3])
+        assert outcome.played is not None
+        history = outcome.played.history
+        fetched[peers] = sum(one.server == "store" and not one.idempotency for one in history.attempts)
+    assert fetched["true"] < 0.95 * fetched["false"]
