--- a/holdgw/rehearsal/report.py
+++ b/holdgw/rehearsal/report.py
@@ -92,10 +92,10 @@
 
 def _laboratory(played: Played) -> dict[str, Any]:
     """What the laboratory itself took: processes, memory, starts, and cores that were waited for."""
-    latest: dict[float, float] = defaultdict(float)
-    for usage in played.usage.values():
+    latest: dict[int, dict[str, int]] = defaultdict(dict)
+    for router, usage in played.usage.items():
         for one in usage:
-            latest[round(one.at)] += one.memory
+            latest[int(one.at)][router] = one.memory
     lives = played.history.lives
     took = sorted(life.ready - life.started for life in lives if life.ready is not None)
     first = [life for life in lives if life.started < played.begun]
@@ -104,7 +104,7 @@
         waits[router] += waited
     return {
         "processes": played.processes,
-        "routers_memory_mb": round(max(latest.values(), default=0.0) / (1 << 20)),
+        "routers_memory_mb": round(max(map(sum, map(dict.values, latest.values())), default=0) / (1 << 20)),
         "start_s": {
             "all": round(max((life.ready or 0.0) for life in first) - min(life.started for life in first), 2)
             if first
