--- a/bench/spread.py
+++ b/bench/spread.py
@@ -126,7 +126,8 @@
         ax.set_title(f"{day}: busiest (solid) and idlest (dashed) over the mean")
         ax.title.set_size(8)
         ax.set_xlabel("s")
-    axes[0].legend()
+    axes[0].set_ylim(0.0, 5.2)
+    axes[0].legend(ncol=2, loc="upper right")
     figure.tight_layout()
     figure.savefig(path, metadata={"Date": None})
 
