--- a/holdgw/peers/datagram.py
+++ b/holdgw/peers/datagram.py
@@ -78,19 +78,29 @@
     """The datagram; at most ENTRIES_MOST entries fit."""
     assert len(message.entries) <= ENTRIES_MOST
     head = _HEAD.pack(VERSION, *message[:-1], len(message.entries))
-    body = head + b"".join(_ENTRY.pack(*entry) for entry in message.entries)
+    return sealed(head + b"".join(_ENTRY.pack(*entry) for entry in message.entries))
+
+
+def sealed(body: bytes) -> bytes:
+    """The datagram of a body that begins with the version: with its checksum behind it."""
     return body + _SUM.pack(zlib.crc32(body))
 
 
-def read(data: bytes, members: int) -> Message:
-    """The message of a datagram among so many members; raises UnreadableError."""
-    if len(data) < _HEAD.size + _SUM.size:
+def opened(data: bytes, least: int) -> bytes:
+    """The body of a datagram, of at least so many bytes; raises UnreadableError."""
+    if len(data) < least + _SUM.size:
         raise UnreadableError("short")
     if data[0] != VERSION:
         raise UnreadableError("version")
     body = data[: -_SUM.size]
     if _SUM.unpack(data[-_SUM.size :])[0] != zlib.crc32(body):
         raise UnreadableError("checksum")
+    return body
+
+
+def read(data: bytes, members: int) -> Message:
+    """The message of a datagram among so many members; raises UnreadableError."""
+    body = opened(data, _HEAD.size)
     _, kind, sender, life, incarnation, zone, number, about, count = _HEAD.unpack_from(body)
     if len(body) != _HEAD.size + count * _ENTRY.size or count > ENTRIES_MOST:
         raise UnreadableError("length")
--- a/holdgw/peers/news.py
+++ b/holdgw/peers/news.py
@@ -11,12 +11,11 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from holdgw.peers.datagram import MOST_BYTES, VERSION, UnreadableError
+from holdgw.peers.datagram import MOST_BYTES, VERSION, UnreadableError, opened, sealed
 
 KIND = 64
 """Stands where a membership's kind does, and is none of these."""
 _HEAD = struct.Struct("!BBHIHBBB")  # version, kind, sender, life, requests, servers, slots, tenants
-_SUM = struct.Struct("!I")
 _SERVER = struct.Struct("!IHB")
 _SLOT = struct.Struct("!HH")
 _TENANT = struct.Struct("!BH")
@@ -68,20 +67,14 @@
         parts.append(_SERVER.pack(saw.server, min(saw.wait // WAIT_STEP, 0xFFFF), age))
     parts += [_SLOT.pack(slot, min(count, 0xFFFF)) for slot, count in news.slots.items()]
     parts += [_TENANT.pack(place, min(rate, 0xFFFF)) for place, rate in news.demands.items()]
-    body = b"".join(parts)
-    assert len(body) + _SUM.size <= MOST_BYTES
-    return body + _SUM.pack(zlib.crc32(body))
+    data = sealed(b"".join(parts))
+    assert len(data) <= MOST_BYTES
+    return data
 
 
 def read(data: bytes, members: int) -> News:
     """The news of a datagram among so many members; raises UnreadableError."""
-    if len(data) < _HEAD.size + _SUM.size:
-        raise UnreadableError("short")
-    if data[0] != VERSION:
-        raise UnreadableError("version")
-    body = data[: -_SUM.size]
-    if _SUM.unpack(data[-_SUM.size :])[0] != zlib.crc32(body):
-        raise UnreadableError("checksum")
+    body = opened(data, _HEAD.size)
     _, kind, sender, life, requests, servers, slots, tenants = _HEAD.unpack_from(body)
     to_servers = _HEAD.size + servers * _SERVER.size
     to_slots = to_servers + slots * _SLOT.size
--- a/holdgw/rehearsal/worker.py
+++ b/holdgw/rehearsal/worker.py
@@ -408,12 +408,8 @@
             model = relay_model(self.setup.scenario, self.setup.seed)
             self.relay = Relay(model, listens, self.clock, self.setup.ip)
             return await self.relay.start()
-        if verb == "partition":
-            until = self.clock() + args["seconds"]
-            a, b = (args["b"], args["a"]) if args["way"] == "from" else (args["a"], args["b"])
-            self.relay.model.block(a, b, until, args["way"] == "both")
-        elif verb == "weather":
-            self.relay.model.weather = replace(self.relay.model.weather, **args)
+        if verb in ("partition", "weather"):
+            relay_trouble(self.relay.model, verb, args, self.clock())
         elif verb == "counts":
             return {name: asdict(counts) for name, counts in self.relay.model.counts.items()}
         else:
@@ -441,6 +437,15 @@
     return RelayModel(seed, line, weather)
 
 
+def relay_trouble(model: RelayModel, verb: str, args: dict[str, Any], now: float) -> None:
+    """A partition between routers, or what befalls all lines from now on."""
+    if verb == "partition":
+        a, b = (args["b"], args["a"]) if args["way"] == "from" else (args["a"], args["b"])
+        model.block(a, b, now + args["seconds"], args["way"] == "both")
+    else:
+        model.weather = replace(model.weather, **args)
+
+
 ROLES: dict[str, type[Part]] = {
     "nodes": NodesPart,
     "hub": HubPart,
--- a/holdgw/simulation/play.py
+++ b/holdgw/simulation/play.py
@@ -28,7 +28,7 @@
 from holdgw.rehearsal.scenario import Scenario, node_names, router_names
 from holdgw.rehearsal.stage import Played
 from holdgw.rehearsal.timeline import StageError, TimeLine, Worker
-from holdgw.rehearsal.worker import ClientsPart, HubPart, NodesPart, Part, relay_model
+from holdgw.rehearsal.worker import ClientsPart, HubPart, NodesPart, Part, relay_model, relay_trouble
 from holdgw.router.config import ConfigError, load_config
 from holdgw.router.platform import Platform
 from holdgw.router.program import Program
@@ -626,15 +626,8 @@
             await super().carry_out(step)
 
     async def _peers_trouble(self, verb: str, args: dict[str, Any]) -> None:
-        model = self.network.peers
-        if model is None:
-            return
-        if verb == "partition":
-            until = self.clock() + args["seconds"]
-            a, b = (args["b"], args["a"]) if args["way"] == "from" else (args["a"], args["b"])
-            model.block(a, b, until, args["way"] == "both")
-        else:
-            model.weather = replace(model.weather, **args)
+        if self.network.peers is not None:
+            relay_trouble(self.network.peers, verb, args, self.clock())
 
     async def _network_trouble(self, verb: str, args: dict[str, Any]) -> None:
         network = self.network
