--- a/holdgw/peers/picture.py
+++ b/holdgw/peers/picture.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from holdgw.peers.news import AGE_MOST, SERVERS_MOST, SLOTS_MOST, TENANTS_MOST, News, Saw, server_word
@@ -83,13 +83,6 @@
     demands: dict[int, int]
 
 
-@dataclass(slots=True)
-class _Words:
-    """What was said of one server: by router, when it was seen and the wait, the latest last."""
-
-    by: dict[int, tuple[int, int]] = field(default_factory=dict)
-
-
 class Picture:
     """This router's picture: what it saw itself, and what others told that they saw."""
 
@@ -98,7 +91,8 @@
         self.hitters = HeavyHitters()
         self._tenants = tuple(tenants)[:TENANTS_MOST]
         self._names: dict[int, str] = {}
-        self._words: dict[int, _Words] = {}
+        # What was said of each server: by router, when it was seen and the wait.
+        self._words: dict[int, dict[int, tuple[int, int]]] = {}
         self._heard: dict[int, _Heard] = {}
         self._mine: dict[int, tuple[int, int]] = {}  # own sights: by server, when and the wait
 
@@ -128,7 +122,7 @@
         self.hitters.add(slot)
 
     def _note(self, server: int, who: int, seen: int, wait: int) -> None:
-        by = self._words.setdefault(server, _Words()).by
+        by = self._words.setdefault(server, {})
         before = by.get(who)
         if before is not None and before[0] >= seen:
             return  # said again, or late
@@ -166,7 +160,7 @@
         """The wait at each server that anybody saw lately: the median of the words, each by its age."""
         found = {}
         for server, words in self._words.items():
-            young = [(wait, now - seen) for seen, wait in words.by.values() if now - seen < WORD_MOST]
+            young = [(wait, now - seen) for seen, wait in words.values() if now - seen < WORD_MOST]
             if not young:
                 continue
             weighed = sorted((wait, math.pow(0.5, age / NS_PER_S / WORD_HALF_S), age) for wait, age in young)
--- a/holdgw/rehearsal/checker.py
+++ b/holdgw/rehearsal/checker.py
@@ -16,6 +16,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from typing import TypeVarTuple
 
 from holdgw.standins.records import (
     LAG_BOUNDS_MS,
@@ -189,14 +190,15 @@
     )
 
 
+Rest = TypeVarTuple("Rest")
 Stretches = Mapping[str, Sequence[tuple[float, float]]]
 """By router: from when to when, in order of time."""
 
 
-def _by_router(stretches: Iterable[tuple[str, float, float]]) -> Stretches:
-    found = defaultdict[str, list[tuple[float, float]]](list)
-    for router, begun, until in sorted(stretches):
-        found[router].append((begun, until))
+def _by_router(stretches: Iterable[tuple[str, *Rest]]) -> Mapping[str, list[tuple[*Rest]]]:
+    found = defaultdict[str, list[tuple[*Rest]]](list)
+    for stretch in sorted(stretches):
+        found[stretch[0]].append(stretch[1:])
     return found
 
 
@@ -226,9 +228,7 @@
     made = {(attempt.server, attempt.serial): attempt for attempt in history.attempts}
     known = {one.request for one in history.tries}
     gone = _by_router(history.gone)
-    starved = defaultdict[str, list[tuple[float, float, float]]](list)
-    for router, since, until, waited in history.starved:
-        starved[router].append((since, until, waited))
+    starved = _by_router(history.starved)
     for one in history.tries:
         sent_on = attempts.get(one.request, [])
 
--- a/holdgw/rehearsal/day.py
+++ b/holdgw/rehearsal/day.py
@@ -409,11 +409,12 @@
                     steps.append(Step(trouble.at, "deafen", NETWORK, {"routers": deaf, **words}))
                 if others:
                     steps.append(Step(trouble.at, "partition", PEERS, {"a": picked, "b": others, **words}))
-            case t.Freeze():
+            case t.Freeze() | t.RouterStop():
                 picked = _picked(rng, routers, trouble.routers)
                 steps += [Step(trouble.at, "stop", ROUTERS, {"router": name}) for name in picked]
                 steps += [Step(until, "continue", ROUTERS, {"router": name}) for name in picked]
-                text = f"{', '.join(picked)} frozen for {trouble.seconds:g} s"
+                word = "frozen" if isinstance(trouble, t.Freeze) else "stand still"
+                text = f"{', '.join(picked)} {word} for {trouble.seconds:g} s"
             case t.Slow():
                 picked = _picked(rng, routers, trouble.routers)
                 pace = {"seconds": trouble.seconds, "run_ms": trouble.run_ms}
@@ -463,11 +464,6 @@
                     Step(until, "weather", NETWORK, {"name": place}),
                 ]
                 text = f"bad lines: {trouble.loss:.1%} lost, {trouble.chop:.0%} in pieces"
-            case t.RouterStop():
-                picked = rng.sample(routers, trouble.routers)
-                steps += [Step(trouble.at, "stop", ROUTERS, {"router": name}) for name in picked]
-                steps += [Step(until, "continue", ROUTERS, {"router": name}) for name in picked]
-                text = f"{', '.join(picked)} stand still for {trouble.seconds:g} s"
             case t.ClockJump():
                 picked = rng.sample(routers, trouble.routers)
                 steps += [
--- a/holdgw/rehearsal/worker.py
+++ b/holdgw/rehearsal/worker.py
@@ -14,6 +14,7 @@
 import time
 import traceback
 from dataclasses import asdict, replace
+from functools import cached_property
 from typing import Any, Protocol
 
 import uvloop
@@ -126,15 +127,16 @@
         self.loop = asyncio.get_running_loop()
         self.records: list[Record] = []
 
-    def lines_of_routers(self) -> dict[str, str]:
+    @cached_property
+    def line_of(self) -> dict[str, str]:
         """The line over which each router comes to servers."""
         return lines_of_routers(self.setup.scenario, self.setup.seed)
 
     def host(self, name: str, zone: str) -> Host:
         """Where a server of that name listens, and over which lines."""
-        scenario, of_router = self.setup.scenario, self.lines_of_routers()
+        scenario = self.setup.scenario
         delays = lines(scenario, self.setup.seed, name, zone)
-        own = {line: delays[drawn.zone_of_router(scenario, router)] for router, line in of_router.items()}
+        own = {line: delays[drawn.zone_of_router(scenario, router)] for router, line in self.line_of.items()}
         return Host(self.setup.ip, delays | own, may_be_cut(scenario))
 
     def saw(self, record: Record) -> None:
@@ -266,7 +268,6 @@
         scenario, seed = self.setup.scenario, self.setup.seed
         self._places: dict[str, dict[str, Address]] = {}
         routers = router_names(scenario.fleet)
-        self._line_of = self.lines_of_routers()
         windows = {one.name: one.window_ms / 1000 for one in scenario.classes}
         zone = zone_of_server(scenario, STORE)
         spec = store_spec(scenario)
@@ -297,7 +298,7 @@
         return Entry(name, State.UP, zone_of_server(scenario, name), NODE_KIND, cell, started_ms=started_ms)
 
     def _where(self, router: str, server: str) -> Address:
-        return self._places[server][self._line_of[router]]
+        return self._places[server][self.line_of[router]]
 
     def places(self, places: Places) -> None:
         """Learn where nodes listen."""
--- a/holdgw/simulation/play.py
+++ b/holdgw/simulation/play.py
@@ -14,6 +14,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
+from functools import cached_property
 from typing import Any, cast
 
 import orjson
@@ -197,7 +198,8 @@
         ip = self.theatre.ips[name]
         return shell.Host(ip, dict.fromkeys(self.setup.scenario.fleet.zones, 0.0))
 
-    def lines_of_routers(self) -> dict[str, str]:
+    @cached_property
+    def line_of(self) -> dict[str, str]:
         """Partitions are the network's: a router's line is its zone's."""
         scenario = self.setup.scenario
         return {name: zone_of_router(scenario, name) for name in router_names(scenario.fleet)}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import orjson
+
 from holdgw.policy import (
     Action,
     AttemptEnded,
@@ -90,3 +92,9 @@
 
 def finals(actions: list[Action]) -> list[Refuse | Fail]:
     return [action for action in actions if isinstance(action, Refuse | Fail)]
+
+
+def trouble(kind: str, at: float, **fields: object) -> str:
+    """A trouble as a scenario file has it."""
+    lines = [f"{name} = {orjson.dumps(value).decode()}" for name, value in fields.items()]
+    return "\n".join(["[[trouble]]", f'kind = "{kind}"', f"at = {at}", *lines, ""])
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -19,6 +19,7 @@
 from holdgw.rehearsal.scenario import read_scenario
 from holdgw.rehearsal.stage import Played, play
 from holdgw.standins.records import Attempt, Try
+from tests.helpers import trouble
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("processes")]
 
@@ -81,18 +82,9 @@
 
 def test_frozen_routers_wake_with_old_beliefs_and_break_no_rule() -> None:
     """A node drains while three routers stand still: when these go on, they answer what still can be."""
-    text = """
-[[trouble]]
-kind = "freeze"
-at = 1.0
-seconds = 1.5
-routers = ["router00", "router03", "router05"]
-[[trouble]]
-kind = "drain"
-at = 1.2
-nodes = ["node004"]
-seconds = 3.0
-"""
+    text = trouble("freeze", 1.0, seconds=1.5, routers=["router00", "router03", "router05"]) + trouble(
+        "drain", 1.2, nodes=["node004"], seconds=3.0
+    )
     played, report = rehearse(text)
     kept(report)
     assert len(played.history.stops) == 3
@@ -105,14 +97,7 @@
 
 def test_a_line_that_is_cut_is_silent_both_ways_for_those_it_is_cut_for_alone() -> None:
     """A does not reach the node and C does; what was written to it comes when the line is back."""
-    text = """
-[[trouble]]
-kind = "partition"
-at = 1.0
-seconds = 2.0
-nodes = ["node002"]
-routers = ["router01", "router04"]
-"""
+    text = trouble("partition", 1.0, seconds=2.0, nodes=["node002"], routers=["router01", "router04"])
     played, report = rehearse(text)
     kept(report)
     cut = {"router01", "router04"}
@@ -129,16 +114,15 @@
 
 
 def test_answers_that_one_way_swallows_are_given_up_on_and_no_write_is_sent_twice() -> None:
-    text = """
-[[trouble]]
-kind = "partition"
-at = 1.0
-seconds = 2.0
-nodes = ["node001", "node002"]
-store = true
-routers = ["router00", "router02"]
-way = "from"
-"""
+    text = trouble(
+        "partition",
+        1.0,
+        seconds=2.0,
+        nodes=["node001", "node002"],
+        store=True,
+        routers=["router00", "router02"],
+        way="from",
+    )
     played, report = rehearse(text)
     kept(report)
     reached = [router for router, one in sent(played, 1.0, 3.0 - SLACK_S) if one.server == "store"]
@@ -146,20 +130,9 @@
 
 
 def test_a_router_cut_off_from_the_list_service_hears_of_a_drain_when_the_line_is_back() -> None:
-    text = """
-[[trouble]]
-kind = "partition"
-at = 1.0
-seconds = 2.0
-nodes = 0
-routers = ["router06"]
-discovery = true
-[[trouble]]
-kind = "drain"
-at = 1.4
-nodes = ["node003"]
-seconds = 3.4
-"""
+    text = trouble("partition", 1.0, seconds=2.0, nodes=0, routers=["router06"], discovery=True) + trouble(
+        "drain", 1.4, nodes=["node003"], seconds=3.4
+    )
     played, report = rehearse(text)
     kept(report)
     told = {
@@ -173,17 +146,9 @@
 
 
 def test_a_lost_machine_is_silent_and_comes_back_empty_under_its_name() -> None:
-    text = """
-[[trouble]]
-kind = "machine_loss"
-at = 1.0
-routers = ["router02"]
-down_s = 2.0
-[[trouble]]
-kind = "machine_loss"
-at = 1.0
-routers = ["router07"]
-"""
+    text = trouble("machine_loss", 1.0, routers=["router02"], down_s=2.0) + trouble(
+        "machine_loss", 1.0, routers=["router07"]
+    )
     played, report = rehearse(text, length=6.0)
     kept(report)
     assert [life.router for life in played.history.lives].count("router02") == 2
@@ -196,20 +161,9 @@
 
 
 def test_a_lost_zone_comes_back_cold_while_slow_routers_serve_on() -> None:
-    text = """
-[[trouble]]
-kind = "zone_loss"
-at = 1.0
-zone = "mladost"
-seconds = 2.5
-notice_s = 0.5
-[[trouble]]
-kind = "slow"
-at = 1.0
-seconds = 2.0
-routers = ["router00"]
-run_ms = 30
-"""
+    text = trouble("zone_loss", 1.0, zone="mladost", seconds=2.5, notice_s=0.5) + trouble(
+        "slow", 1.0, seconds=2.0, routers=["router00"], run_ms=30
+    )
     played, report = rehearse(text, length=6.0)
     kept(report)
     gone = {f"node{i:03d}" for i in (1, 4, 7)}
--- a/tests/processes/test_peers.py
+++ b/tests/processes/test_peers.py
@@ -13,37 +13,18 @@
 from holdgw.rehearsal.report import make_report
 from holdgw.rehearsal.scenario import read_scenario
 from holdgw.rehearsal.stage import Stage, play
+from tests.helpers import trouble
 from tests.processes.test_faults import DAY, ROOT, ROUTER, kept
 
 pytestmark = [pytest.mark.processes, pytest.mark.xdist_group("processes")]
 
-TROUBLES = """
-[peers]
-allowed = true
-loss = 0.05
-duplicates = 0.05
-reordered = 0.2
-[[trouble]]
-kind = "machine_loss"
-at = 0.3
-routers = ["router07"]
-[[trouble]]
-kind = "partition"
-at = 0.3
-seconds = 30
-nodes = 0
-routers = ["router00"]
-peers = ["router01"]
-[[trouble]]
-kind = "freeze"
-at = 1.0
-seconds = 1.5
-routers = ["router03", "router04", "router05"]
-[[trouble]]
-kind = "router_restart"
-at = 1.5
-routers = ["router06"]
-"""
+TROUBLES = (
+    "[peers]\nallowed = true\nloss = 0.05\nduplicates = 0.05\nreordered = 0.2\n"
+    + trouble("machine_loss", 0.3, routers=["router07"])
+    + trouble("partition", 0.3, seconds=30, nodes=0, routers=["router00"], peers=["router01"])
+    + trouble("freeze", 1.0, seconds=1.5, routers=["router03", "router04", "router05"])
+    + trouble("router_restart", 1.5, routers=["router06"])
+)
 RESTARTED = "router06"
 
 
@@ -70,22 +51,11 @@
     assert not [word for words in said.values() for word in words if word[1] == "gone" and word[0] != "7"]
 
 
-ALONE = """
-[peers]
-allowed = true
-[[trouble]]
-kind = "partition"
-at = 0.1
-seconds = 30
-nodes = 0
-routers = ["router00"]
-peers = 7
-[[trouble]]
-kind = "freeze"
-at = 1.0
-seconds = 1.0
-routers = ["router05"]
-"""
+ALONE = (
+    "[peers]\nallowed = true\n"
+    + trouble("partition", 0.1, seconds=30, nodes=0, routers=["router00"], peers=7)
+    + trouble("freeze", 1.0, seconds=1.0, routers=["router05"])
+)
 
 
 async def figures(address: tuple[str, int]) -> dict[str, float]:
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -29,6 +29,7 @@
 from holdgw.router.discovery import Clock
 from holdgw.simulation.search import play_seed
 from holdgw.standins.records import Attempt
+from tests.helpers import trouble
 
 ROOT = Path(__file__).resolve().parent.parent
 ROUTER = f"exec {sys.executable} -m holdgw.router"
@@ -61,11 +62,6 @@
     return played, make_report(played)
 
 
-def trouble(kind: str, at: float, **fields: object) -> str:
-    lines = [f"{name} = {orjson.dumps(value).decode()}" for name, value in fields.items()]
-    return "\n".join(["[[trouble]]", f'kind = "{kind}"', f"at = {at}", *lines, ""])
-
-
 def test_a_quiet_day_is_served_and_its_report_is_whole() -> None:
     played, report = rehearse(small())
     body = orjson.loads(orjson.dumps(report.body))
