Ends in good order, nothing begun for gone clients, news within a quick call

Seen by reading and by tests that fail without each change: (1) client_gone (host.py) told the module but left an attempt that waited for a place, a dial or a descriptor in the pool's queue; it was written when a connection came. (2) A connection that is not read (behind a fault, too many commands, taking nothing, at the router's end) hides its client's end, and retries began for it. (3) What was decided on was written without a look at what had changed while it waited or while the process stood still. (4) finish() and the idle closes closed over unread bytes: a reset, which may overtake an answer. (5) The accept queue was reset as the listener closed. (6) A watch that fell silent cost 6.1 s and, if the call after it was lost, 8.2 s; a call during an agent's silence waited 2 s, while what the agent has at its return counts at once. (7) Those refused for lack of room held descriptors that were counted to nobody. (8) A client that asks 256 times and takes nothing could hold 16 MB. (9) _fault refused a class whose reads are keyed or unsafe, or whose writes are safe, with an error: on a site with a keyed main class none of its requests was served.

Change: Exchange.unwanted() is asked in the turn of the write; unwritten attempts end with their client; poll(2) tells of an end that is not read; one way to end a client's connection (shut our side, read and drop up to a bound, close); the accept queue is taken before the listener closes; the whole list is asked for by a patient call and quick ones beside it, PUSHED_WAIT 2 s; asked: 3 s of wait, an answer at once after a failure, pauses of 2 s at most; CANCELLED and MOOT judge no server.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -81,6 +81,7 @@
         "holdgw.policy.logic",
         "if self.cls.effect is Effect.UNSAFE or self.write_within(now) <= 0:",
         "if self.cls.effect is Effect.UNSAFE:",
+        (("holdgw.router.host", "if self._write_by and now >= self._write_by:", "if False:"),),
     ),
     "slow-repeat": Mutant(
         "a repeat waits for its connection beyond its window",
@@ -246,8 +247,8 @@
     "closing-for-ever": Mutant(
         "a connection being closed to a client that takes nothing is waited for without end",
         "holdgw.router.clients",
-        "        if self.blocked or self.transport.is_closing():\n",
-        "        if self.blocked:\n",
+        "if self.blocked or self.transport.is_closing() or (self._linger is not None and unsent):\n",
+        "if self.blocked:\n",
         scenario="bench/scenarios/deaf-clients.toml",
     ),
     "shed-off": Mutant(
@@ -331,7 +332,7 @@
     "fin-before-answers": Mutant(
         "a client's connection is closed though commands are unanswered",
         "holdgw.router.clients",
-        "        if not self.replies and (even_midway or not self._reader.midway):",
+        "        if not self.replies and (even_midway or not (self._reader.midway or self._newly_made)):",
         "        if even_midway or not self._reader.midway:",
     ),
 }
--- a/holdgw/peers/membership.py
+++ b/holdgw/peers/membership.py
@@ -264,8 +264,11 @@
 
     def _heard(self, sender: Member, message: Message, now: int) -> None:
         soon = sender.heard and now - sender.heard < CONFLICT_S * NS_PER_S
-        if sender.life and message.life != sender.life and soon and not newer(
-            message.incarnation, sender.incarnation
+        if (
+            sender.life
+            and message.life != sender.life
+            and soon
+            and not newer(message.incarnation, sender.incarnation)
         ):
             self.conflicts += 1
         sender.heard, sender.life = now, message.life
@@ -315,8 +318,10 @@
             del self._asked[message.number]
             return [self._send(asked[0], Kind.ACK, asked[1], message.sender)]
         probe = self._probe
-        if probe is not None and probe.number == message.number and probe.target in (
-            message.sender, message.about
+        if (
+            probe is not None
+            and probe.number == message.number
+            and probe.target in (message.sender, message.about)
         ):
             self._probe = None
             self.health = max(self.health - 1, 0)
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -70,6 +70,7 @@
 SIGHTS_MOST = 1024  # slots noted for other routers between two tellings
 SENT_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
 ON_THE_WAY = NS_PER_S // 20  # from when a request is written until it is there, at most
+ASK_MOST = 2 * NS_PER_S  # until discovery is asked again; 6 s later what it has counts as told
 REGAIN = 60 * NS_PER_S  # time in which a chance comes back by itself, where answers are too few to bring it
 DEAD = -0.02  # the chance after a refused connection: none for that part of REGAIN, then trials
 
@@ -552,7 +553,9 @@
             self._failed_calls = 0
         elif not self._asking:
             self._asking = True
-            most = min(self._settings.ask_within // 2, NS_PER_S << min(self._failed_calls, 8))
+            # Danger: a change counts as told 6 s after discovery had it and could be reached, whatever failed
+            # before: a longer pause alone would use that up.
+            most = min(self._settings.ask_within // 2, NS_PER_S << min(self._failed_calls, 8), ASK_MOST)
             self._failed_calls += kind is ListKind.FAILED
             self._actions.append(api.SetTimer(self._rng.randint(most // 4, most), "subscribe"))
 
@@ -783,13 +786,16 @@
         lost = outcome in (Outcome.SPOILT, Outcome.RESET)
         broke = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
         quick = broke and event.latency <= request.cls.aim * QUICK_AIM
+        # Danger: what was called off unwritten, or was no attempt at all, is no word of a server. Taken for
+        # one, it clears the count of what a dead one refused. No harm: it says nothing either way.
+        told = outcome not in (Outcome.CANCELLED, Outcome.MOOT)
         if outcome is Outcome.TIMEOUT:
             early = bool(request.patience) and self._now < request.deadline
             self._budget -= early
             lost = early or self._vanished(node, request, took)
             if lost and not early:
                 self._budget = min(BUDGET_MOST, self._budget + 1)
-        elif not broke:
+        elif told and not broke:
             node.answered = self._now
         if outcome in (Outcome.OK, Outcome.MISS):
             # A prompt answer to what was asked again shows that the first one was lost.
@@ -799,13 +805,13 @@
                 node.pace += (took - node.pace) / 16 if node.pace else took
         if not fetched and event.load is not None and self._fields is not None:
             self._told(node, event.load)
-        if not fetched:
+        if fetched:
+            self._judge_fetch(node, event, late and not unsure, lost)
+        elif told:
             # A time-out before the deadline is one of our own patience, and no sign of load.
             slow = not lost if outcome is Outcome.TIMEOUT else late and not unsure
             alone = self._strain <= ALONE
             node.judge(outcome, slow, self._now, request.sent_at, alone, event.deserted)
-        else:
-            self._judge_fetch(node, event, late and not unsure, lost)
         if not outcome.never_ran and request.ran is None:
             request.ran = node, request.sent_at
         if event.closed or request.done:
--- a/holdgw/router/clients.py
+++ b/holdgw/router/clients.py
@@ -13,6 +13,7 @@
 from typing import Any, Protocol, cast
 
 from holdgw.operation.link import HELD_MOST, Client
+from holdgw.router.platform import accept_queued, has_left
 from holdgw.wire.address import Address
 from holdgw.wire.resp import Command, CommandReader, parse_request
 
@@ -28,7 +29,8 @@
 MANY_SHARE = 0.25  # of the table
 STANDING_SHARE = 0.4  # of the table, for connections between requests
 FRESH_S = 0.3  # in which a new connection brings its first command, unless the client is silent
-LINGER_S = 0.5  # in which a client that can't be followed may read the error before the reset
+LINGER_S = 0.5  # in which a client may end its side after ours: then nothing unread is left to reset it
+DROPPED_MOST = 256 << 10  # bytes that it may send meanwhile, which are read and dropped
 SWEEP_S = 0.25
 NS_PER_MS = 1_000_000
 # Linux: tcp_info, and in it the ms since data last came (tcp(7)).
@@ -103,6 +105,10 @@
         """For how long its command lay there before it was read, as far as the kernel tells."""
         return self._connection.unread_ns()
 
+    def has_left(self) -> bool:
+        """Whether the client has closed its connection, asked of the kernel; its connection goes then."""
+        return self._connection.has_left()
+
     def send(self, data: bytes) -> None:
         """Give the answer."""
         self.data = data
@@ -167,7 +173,8 @@
         self._closing = False  # it closes as soon as it stands between requests
         self._handing = False  # no more commands are taken: another process is to have them
         self._unsent = 0
-        self._linger: asyncio.TimerHandle | None = None
+        self._linger: asyncio.TimerHandle | None = None  # set: our side is shut, what comes is dropped
+        self._dropped = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport, if there is room."""
@@ -238,6 +245,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Read commands; an exception here costs this connection and no other."""
+        if self._linger is not None:
+            self._dropped += len(data)
+            self._set_reading()
+            return
         if self._last or self.closed:
             return
         self.used_at = self.server.loop.time()
@@ -333,7 +344,7 @@
         if self._reader.midway or not self._reading:
             self._take_commands()  # those left, or unread, when there were too many without an answer
         if self._closing and self.idle:
-            self.transport.close()
+            self._end()
 
     def break_off(self) -> None:
         """An answer that is begun can't be finished: close behind what is written of it."""
@@ -345,14 +356,29 @@
         self._leave()
 
     def _end(self) -> None:
-        """Close in good order: the other side may still be sending."""
+        """Close in good order: our side first, and all of it once the client has ended its own.
+
+        Danger: to close with bytes unread resets the connection, and the reset may overtake the last answer.
+        What comes from here on is read and dropped, so that the client sees an end with no answer to it, and
+        asks elsewhere; a flood is read up to a bound, and then stops at the kernel's buffers. It could do
+        harm where clients never end their side: each holds a descriptor for so long.
+        """
         if self.transport is None or self._linger is not None or self.transport.is_closing():
             return
-        # Danger: to close with bytes unread resets the connection, which may take the last answer with it.
-        # Nothing more is read meanwhile, so a flood stops at the kernel's buffers.
-        self._linger = self.server.loop.call_later(LINGER_S, self.abort)
+        self._last = True
+        self.server.ending[self] = None
+        self._linger = self.server.loop.call_later(LINGER_S, self._lingered)
+        self._set_reading()
         self.transport.write_eof()
 
+    def _lingered(self) -> None:
+        # Danger: a client that is slow to take a large answer would lose the rest of it. One that takes
+        # nothing at all is the sweep's.
+        if self.transport is not None and self.transport.get_write_buffer_size() and not self.closed:
+            self._linger = self.server.loop.call_later(LINGER_S, self._lingered)
+        else:
+            self.abort()
+
     def pause_writing(self) -> None:
         """The client does not take what it asked for: read no more from it."""
         self.blocked = True
@@ -366,8 +392,10 @@
         self.flush()
 
     def _set_reading(self) -> None:
-        # A connection at its end is read no more, but its end is noticed by the linger's limit.
-        wanted = not (self.blocked or self._last or self._handing or len(self.replies) >= MAX_PIPELINE)
+        if self._linger is not None:
+            wanted = self._dropped <= DROPPED_MOST
+        else:  # a client that leaves meanwhile is found where something is about to be sent on for it
+            wanted = not (self.blocked or self._last or self._handing or len(self.replies) >= MAX_PIPELINE)
         if wanted == self._reading or self.transport is None or self.transport.is_closing():
             return
         self._reading = wanted
@@ -376,6 +404,11 @@
         else:
             self.transport.pause_reading()
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of its answers that it has not taken."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     @property
     def idle(self) -> bool:
         """Whether it stands between requests."""
@@ -391,13 +424,35 @@
         if self.transport is None or self.closed or self._linger is not None:
             return
         self._closing = True
-        if not self.replies and (even_midway or not self._reader.midway):
-            self.transport.close()
+        if not self.replies and (even_midway or not (self._reader.midway or self._newly_made)):
+            self._end()
         elif even_midway:
             # Danger: a client that always has a request out would be served until the kill, and lose one.
             self._last = True
             self._set_reading()
 
+    @property
+    def _newly_made(self) -> bool:
+        """Whether it has just come, and its first command may still be on its way."""
+        # Danger: one that is accepted as the router ends has its command unread, and would see a new
+        # connection closed with no answer.
+        return not self.asked and self.server.loop.time() - self._made_at <= FRESH_S
+
+    def has_left(self) -> bool:
+        """Whether the client is gone, though that may not have been read here; its connection goes then."""
+        # Danger: one that is read no more (it takes nothing, asks too much, or this process ends), or whose
+        # end came while the process stood still, would have requests sent on for it long after it left.
+        if not self.closed and self.transport is not None and self.server.has_left(self.transport):
+            self.abort()
+        return self.closed
+
+    def make_room(self, at_once: bool) -> None:
+        """Close, in good order if there is time for it."""
+        if at_once:
+            self.abort()
+        else:
+            self._end()
+
     def abort(self) -> None:
         """Close at once."""
         if self.transport is not None:
@@ -406,14 +461,14 @@
 
     def check(self, now: float, idle_limit: float) -> None:
         """Drop a client that neither takes nor sends: it holds memory and a descriptor."""
-        if self._linger is not None or self.transport is None:
+        if self.transport is None:
             return
+        unsent = self.transport.get_write_buffer_size()
         # Danger: a client that takes nothing keeps a connection that is being closed open for as long as
         # the kernel tries, a quarter of an hour; what is left may be too little to count as blocked.
-        if self.blocked or self.transport.is_closing():
-            size = self.transport.get_write_buffer_size()
-            if size != self._unsent:
-                self._unsent, self.used_at = size, now
+        if self.blocked or self.transport.is_closing() or (self._linger is not None and unsent):
+            if unsent != self._unsent:
+                self._unsent, self.used_at = unsent, now
             streams = bool(self.replies) and self.replies[0].long is not None
             if now - self.used_at > (STREAM_STALL_S if streams else STALL_S):
                 log.warning("a client takes nothing of its answer")
@@ -426,7 +481,7 @@
             if now - self.begun_at > COMMAND_S:
                 self._add_reply().fail("Protocol error: no whole command in time")
         elif now - self.used_at > idle_limit:
-            self.transport.close()
+            self._end()
 
 
 def copy_of(transport: Any) -> int:
@@ -437,11 +492,24 @@
 class ClientServer:
     """The listener and all clients' connections, within their share of descriptors."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, limit: int) -> None:
-        self.loop, self.host, self._limit = loop, host, limit
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        host: Host,
+        limit: int,
+        has_left: Callable[[Any], bool] = has_left,
+        room: int = 8 << 20,
+    ) -> None:
+        """`has_left`: whether the other side of a transport is closed, read or not; `room`: bytes that they
+        may leave untaken, all clients together.
+        """
+        self.loop, self.host, self._limit, self.has_left = loop, host, limit, has_left
+        self._room = room
         self.copy: Callable[[Any], int] = copy_of
         """Gives a connection's descriptor for another process; whoever passes it on closes it."""
         self._connections: dict[ClientConnection, None] = {}
+        self.ending: dict[ClientConnection, None] = {}
+        """Those of them whose last answer is written and that only linger, the longest first."""
         self._listener: asyncio.Server | None = None
         self._timer = loop.call_later(SWEEP_S, self._sweep)
 
@@ -460,15 +528,19 @@
             self._connections[connection] = None
             return
         # Danger: clients that only connect would leave no descriptors for servers, and none for new clients.
-        if len(self._connections) >= self._limit:
+        full = len(self._connections) >= self._limit + REFUSERS
+        if full and self.ending:
+            next(iter(self.ending)).abort()
+            full = False
+        if len(self._connections) - len(self.ending) >= self._limit:
             idle = self._spare()
             if idle is not None:
-                idle.abort()
-            elif len(self._connections) < self._limit + REFUSERS:
-                connection.refusing = True
-            else:
+                idle.make_room(at_once=full)
+            elif full:
                 connection.abort()
                 return
+            else:
+                connection.refusing = True
         self._connections[connection] = None
 
     def _spare(self) -> ClientConnection | None:
@@ -480,15 +552,17 @@
             (
                 other
                 for other in self._connections
-                if other.idle or (not other.asked and not other.replies and other.begun_at <= fresh)
+                if not other.ending
+                and (other.idle or (not other.asked and not other.replies and other.begun_at <= fresh))
             ),
-            key=lambda other: (not other.ending, other.asked or other.begun_at > fresh, other.used_at),
+            key=lambda other: (other.asked or other.begun_at > fresh, other.used_at),
             default=None,
         )
 
     def closed(self, connection: ClientConnection) -> None:
         """A connection is gone."""
         self._connections.pop(connection, None)
+        self.ending.pop(connection, None)
 
     @property
     def connected(self) -> int:
@@ -505,6 +579,15 @@
             self._listener.close()
             self._listener = None
 
+    def take_queued(self) -> list[int]:
+        """The descriptors of connections that have come and are not accepted yet, as far as there is room."""
+        # Danger: to close a listener resets what waits in its queue, requests and all, and they are taken:
+        # the machine has accepted their connections.
+        listener: Any = self._listener
+        if listener is None:
+            return []
+        return accept_queued(listener.sockets, max(self._limit + REFUSERS - len(self._connections), 0))
+
     async def adopt(self, told: Client | None, descriptor: int, late: int = 0) -> None:
         """Take a connection over from another process; None: nothing was read of it there.
 
@@ -536,6 +619,7 @@
         many = len(self._connections) > self._limit * MANY_SHARE
         for connection in list(self._connections):
             connection.check(now, IDLE_MANY_S if many else IDLE_FEW_S)
+        self._keep_within_room()
         # Danger: clients that ask once and stay would hold all the connections that clients may have, and
         # the next ones find none. Those idle longest go; it could do harm to more clients than this that
         # take turns within a second, who would have to dial again each time.
@@ -546,6 +630,20 @@
                 if now - connection.used_at > FRESH_S:
                     connection.finish(even_midway=False)
 
+    def _keep_within_room(self) -> None:
+        """End those who take least of their answers, where these fill the memory."""
+        # Danger: a few that ask hundreds of times and take nothing hold megabytes each, long before the time
+        # to take something is over. It could do harm to one that is only slow: it goes where many are.
+        untaken = sum(connection.unsent for connection in self._connections)
+        if untaken <= self._room:
+            return
+        for connection in sorted(self._connections, key=lambda c: c.unsent, reverse=True):
+            if untaken <= self._room:
+                break
+            untaken -= connection.unsent
+            log.warning("a client takes too little of its answers")
+            connection.abort()
+
     def close(self) -> None:
         """Close everything."""
         self._timer.cancel()
--- a/holdgw/router/discovery.py
+++ b/holdgw/router/discovery.py
@@ -1,4 +1,12 @@
-"""Discovery's client: the whole list once, then a watch that goes on without a gap."""
+"""Discovery's client: the whole list once, then a watch that goes on without a gap.
+
+A change counts as told 6 s after discovery had it and could be reached, whatever failed meanwhile. A watch
+that falls silent is found out when its wait and the slack are over; then, where lists are pushed, the whole
+list is asked for until it comes, by a call that is patient and by others beside it that are not. So what an
+agent has is known here within `PUSHED_WAIT_MS`, `CALL_SLACK_S` and a quick call (2.7 s) of when it last fell
+silent, and within a quick call of its return. Where discovery is asked, the module's pause comes in between:
+`ASKED_WAIT_MS`, `ASKED_SLACK_S`, a first pause of 1 s at most and one call more, 6 s.
+"""
 
 from __future__ import annotations
 
@@ -18,11 +26,15 @@
 
 MAX_BODY = 8 << 20  # tens of thousands of entries
 LIST_PATH = "/registry/instances"
-PUSHED_WAIT_MS = 5_000  # an agent's answers cost nothing, and a lost one is missed for so long at most
-ASKED_WAIT_MS = 20_000  # where discovery is asked each call costs it work
-CALL_SLACK_S = 1.0  # beyond a watch's wait; news counts as told 2 s after the wait, come or not
-LIST_TIMEOUT_S = 2.0
+PUSHED_WAIT_MS = 2_000  # an agent's answers cost nothing, and a lost one is missed for so long at most
+ASKED_WAIT_MS = (
+    3_000  # where discovery is asked each call costs it work; but what a silent watch misses counts
+)
+CALL_SLACK_S = 0.5  # beyond a watch's wait, by an agent of this machine
+ASKED_SLACK_S = 1.0  # the same by a service that works through all routers' calls in turn
+LIST_TIMEOUT_S = 2.0  # for a whole list
 RETRY_S = 0.1  # a watch goes on if the next call comes within 0.2 s
+QUICK_S = 0.1  # in which an agent of this machine answers, if it does
 
 _STATES = {"up": ServerState.READY, "draining": ServerState.DRAINING, "removed": ServerState.GONE}
 
@@ -133,46 +145,64 @@
             self.transport.abort()
 
 
-class _Watch:
-    """One discovery service being followed: its address, its connection and the version held of it."""
+class _Line:
+    """The way to one discovery service: a connection, made anew after each call that failed."""
 
-    def __init__(self, address: Address, generation: int, first: bool) -> None:
-        self.address, self.generation = address, generation
-        self.whole = first  # the whole list is asked for first
-        self.task: asyncio.Task[None] | None = None
+    def __init__(self, address: Address) -> None:
+        self._address = address
         self._call: _Call | None = None
 
-    async def ask(self, wait_ms: int) -> Any:
-        """One call: the whole list, or a wait for what is newer than the version held."""
-        target = LIST_PATH if self.whole else f"{LIST_PATH}?index={self.generation}&wait={wait_ms}"
-        limit = LIST_TIMEOUT_S if self.whole else wait_ms / 1000 + CALL_SLACK_S
+    async def get(self, target: str, limit: float) -> Any:
+        """Ask for a list; raises what went wrong, also when it takes longer than the limit."""
         try:
             async with asyncio.timeout(limit):
                 if self._call is None or not self._call.usable:
                     loop = asyncio.get_running_loop()
-                    _, self._call = await loop.create_connection(_Call, *self.address)
-                host, port = self.address
+                    _, self._call = await loop.create_connection(_Call, *self._address)
+                host, port = self._address
                 status, body = await self._call.ask(target, f"{host}:{port}")
         except BaseException:
             # Danger: the late answer of a call given up would be taken for the next one's.
-            if self._call is not None:
-                self._call.close()
+            self.close()
             raise
         if status != 200:
             raise ValueError(f"answered {status}")
         return orjson.loads(body)
 
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._call is not None:
+            self._call.close()
+
+
+class _Watch:
+    """One discovery service being followed: its address, the way there and the version held of it."""
+
+    def __init__(self, address: Address, generation: int, first: bool) -> None:
+        self.address, self.generation = address, generation
+        self.whole = first  # the whole list is asked for first
+        self.down = False  # the last call failed, and the log tells of it
+        self.task: asyncio.Task[None] | None = None
+        self.calls: list[asyncio.Task[Listing]] = []  # for the whole list, beside one another
+        self.line = _Line(address)
+
     @property
     def running(self) -> bool:
         """Whether a task follows it."""
         return self.task is not None and not self.task.done()
 
+    def failed(self, error: Exception) -> None:
+        """Tell the log, once until a call comes back."""
+        if not self.down:
+            log.warning("discovery: %s", str(error) or type(error).__name__)
+        self.down = True
+
     def close(self) -> None:
         """Stop watching."""
-        if self.task is not None:
-            self.task.cancel()
-        if self._call is not None:
-            self._call.close()
+        for task in (self.task, *self.calls):
+            if task is not None:
+                task.cancel()
+        self.line.close()
 
 
 class Discovery:
@@ -235,34 +265,77 @@
 
     async def _follow(self, watch: _Watch) -> None:
         """Never ends: the agent is on this machine, so asking again costs nothing."""
-        down = False
         while True:
+            if watch.whole:
+                await self._reach(watch)
+                continue
             try:
-                await self._ask_once(watch, PUSHED_WAIT_MS)
-                down = False
+                await self._ask_once(watch, PUSHED_WAIT_MS, CALL_SLACK_S)
             except Exception as error:
-                if not down:
-                    log.warning("discovery: %s", str(error) or type(error).__name__)
-                down = True
+                watch.failed(error)
                 # Danger: an agent that comes back may count its versions anew, and would tell us nothing
                 # until it had passed ours. The whole list costs nothing here.
                 watch.whole = True
-                await asyncio.sleep(RETRY_S)
+
+    async def _reach(self, watch: _Watch) -> None:
+        """Get the whole list, however often it takes.
+
+        Danger: what an agent has counts as told from the moment of its return. One call whose answer is lost
+        would keep its news from us for as long as that call waits; a short wait alone would never get a list
+        from an agent that is slow. Hence two calls at a time, of which one is patient.
+        """
+        loop = asyncio.get_running_loop()
+        lines = [watch.line, _Line(watch.address)]
+        watch.calls = calls = [
+            loop.create_task(self._insist(watch, line, limit, pause))
+            for line, limit, pause in zip(lines, (LIST_TIMEOUT_S, QUICK_S), (0.0, RETRY_S), strict=True)
+        ]
+        try:
+            await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+            first = next(i for i, call in enumerate(calls) if call.done())
+            listing = calls[first].result()
+            watch.line = lines.pop(first)
+        finally:
+            for call in calls:
+                call.cancel()
+            for line in lines:
+                line.close()
+        self._took(watch, listing)
+
+    async def _insist(self, watch: _Watch, line: _Line, limit: float, pause: float) -> Listing:
+        """Ask for the whole list until it comes."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(pause)
+            begun = loop.time()
+            try:
+                return read_listing(await line.get(LIST_PATH, limit), self._clock)
+            except Exception as error:
+                watch.failed(error)
+            pause = max(begun + RETRY_S - loop.time(), 0.0)
 
     async def _watch_asked(self, watch: _Watch) -> None:
         """Ends with the first failed call, which the module is told of: it decides when to ask again."""
+        wait_ms = 0  # Danger: what an earlier watch has missed must not wait for a second silent one's end.
         try:
             while True:
-                await self._ask_once(watch, ASKED_WAIT_MS)
+                await self._ask_once(watch, wait_ms, ASKED_SLACK_S)
+                wait_ms = ASKED_WAIT_MS
         except Exception as error:
-            log.warning("discovery: %s", str(error) or type(error).__name__)
+            watch.failed(error)
         watch.task = None
         if watch is self._watch:
             self._failed()
 
-    async def _ask_once(self, watch: _Watch, wait_ms: int) -> None:
-        listing = read_listing(await watch.ask(wait_ms), self._clock)
+    async def _ask_once(self, watch: _Watch, wait_ms: int, slack: float) -> None:
+        """One call of a watch: a wait for what is newer than the version held."""
+        target = LIST_PATH if watch.whole else f"{LIST_PATH}?index={watch.generation}&wait={wait_ms}"
+        limit = LIST_TIMEOUT_S if watch.whole else wait_ms / 1000 + slack
+        self._took(watch, read_listing(await watch.line.get(target, limit), self._clock))
+
+    def _took(self, watch: _Watch, listing: Listing) -> None:
         if watch is self._watch:
             self._leave_old()
-        watch.whole, watch.generation = False, listing.generation
+        watch.whole = watch.down = False
+        watch.generation = listing.generation
         self._take(listing)
--- a/holdgw/router/host.py
+++ b/holdgw/router/host.py
@@ -54,6 +54,7 @@
 SWEEP_S = 0.02
 LONG_STALL_NS = NS_PER_S  # one that the log tells of
 STREAM_STALL = 8 * NS_PER_S  # in which a server must give something of a long value
+LOOK_AFTER_NS = 50 * NS_PER_MS  # from when a request came: then it is looked up if its client is still there
 OVERDUE_NS = 10 * NS_PER_MS  # past its deadline, after which a request is answered whatever the module does
 FAILED = b"-ERR failed\r\n"
 RECENT = 2048  # ids of requests that are over; a repeat of one is no request
@@ -84,6 +85,7 @@
         "command",
         "deadline",
         "id",
+        "last",
         "out",
         "reply",
         "stream",
@@ -95,6 +97,7 @@
         self.cls = command.info.fields["c"]
         self.attempts = self.out = 0
         self.closed = False
+        self.last: Attempt | None = None  # the attempt made last
         self.stream: Attempt | None = None  # passes a long value on; the answer is begun
 
 
@@ -112,6 +115,8 @@
         self._began_at = self._moved_at = 0  # a long value, and when the last of it came
         self._timer: TimeOut | None = None
         self._write_timer: TimeOut | None = None
+        self._write_by = 0  # when it must not be written any more; 0: no bound but the request's time
+        request.last = self
         request.attempts += 1
         request.out += 1
 
@@ -121,6 +126,7 @@
 
     def write_by(self, due: int) -> None:
         """Not be written any more at the time `due`."""
+        self._write_by = due
         self._write_timer = self._host.wheel.at(due, self._too_late_to_write)
 
     def _too_late_to_write(self) -> None:
@@ -130,6 +136,26 @@
     def _timed_out(self) -> None:
         self.give_up(Outcome.TIMEOUT)
 
+    def unwanted(self) -> Outcome | None:
+        """Why it must not be written any more, though it was decided on; None: it may be."""
+        # Danger: it may have waited for a connection, or this process have stood still, and what was so when
+        # it was decided on is so no more; the timers and the client's end that would tell may be yet to come.
+        request, now = self._request, self._host.now()
+        if request.closed:
+            return Outcome.CANCELLED
+        if now >= request.deadline:
+            return Outcome.TIMEOUT
+        if self._write_by and now >= self._write_by:
+            return Outcome.CONNECT_FAILED
+        if now - request.arrived > LOOK_AFTER_NS and request.reply.has_left():
+            return Outcome.CANCELLED
+        return None
+
+    def call_off(self) -> None:
+        """Not to be written any more, unless it is already."""
+        if not self._written_at:
+            self.give_up(Outcome.CANCELLED)
+
     def request_bytes(self, address: Address) -> bytes:
         """The client's command again, with what is left of its time."""
         command = self._request.command
@@ -497,8 +523,6 @@
             return "unknown class"
         if command.info.timeout_ms * NS_PER_MS > LONGEST_WAIT * cls.deadline:
             return "d is longer than the class allows"
-        if (command.value is None) != (cls.effect is Effect.SAFE):
-            return "the command does not fit its class"
         if cls.effect is Effect.KEYED and "k" not in command.info.fields:
             return "k must give the idempotency key"
         return ""
@@ -511,6 +535,10 @@
         request.closed = True
         self.settle(request)
         self.tell(ClientGone(request.id))
+        # Danger: an attempt that waits for a connection would begin when nobody wants it any more, at a
+        # server that has others to serve.
+        if request.last is not None:
+            request.last.call_off()
         if request.stream is not None:
             stream, request.stream = request.stream, None
             stream.give_up(Outcome.CANCELLED)  # there is nobody to take the rest
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -21,7 +21,7 @@
 from holdgw.peers.talk import Talk
 from holdgw.policy import Learnt, ListKind, PictureChanged
 from holdgw.policy.interface import NS_PER_S
-from holdgw.router.clients import ClientServer
+from holdgw.router.clients import REFUSERS, ClientServer
 from holdgw.router.config import Config, ConfigError, load_config
 from holdgw.router.discovery import Clock, Discovery, read_listing
 from holdgw.router.host import RouterHost
@@ -38,6 +38,7 @@
 DRAIN_STEP_S = 0.01
 OWN_DESCRIPTORS = 32  # standard streams, the listeners, the event loop, discovery, callers at the door
 LONG_VALUES_PART = 8  # of memory, for long values that can't be passed on as they come
+UNTAKEN_PART = 8  # of memory, for answers that clients have not taken
 CLIENT_SHARE = 0.5  # of the other descriptors: clients' requests hold a third of all at most
 
 log = logging.getLogger("holdgw")
@@ -60,7 +61,9 @@
             config.copies,
         )
         self.host = RouterHost(loop, config.settings, config.seed, self.pool, config.max_open, now)
-        self.clients = ClientServer(loop, self.host, for_clients)
+        self.clients = ClientServer(
+            loop, self.host, for_clients, self.platform.has_left, config.memory // UNTAKEN_PART
+        )
         self.clock = Clock(now, self.platform.unix_ns)
         asked = config.settings.must_subscribe
         self.discovery = Discovery(
@@ -102,7 +105,9 @@
 
     def _descriptors(self, processes: int) -> tuple[int, int]:
         """What clients and servers may hold, where so many processes share the router's descriptors."""
-        descriptors = max(self.config.sockets // processes - OWN_DESCRIPTORS, 8)
+        # Danger: those who are told that there is no room hold descriptors too. Were they not counted, a
+        # flood of them would leave none for the call to discovery, or for dials, when these are needed most.
+        descriptors = max(self.config.sockets // processes - OWN_DESCRIPTORS - REFUSERS, 8)
         for_clients = int(descriptors * CLIENT_SHARE)
         return for_clients, descriptors - for_clients
 
@@ -283,12 +288,13 @@
             return
         # Danger: clients are sent here for a while yet, and what they send to a closed door is lost.
         await asyncio.sleep(ACCEPT_S)
+        queued = clients.take_queued()
         clients.stop_accepting()
-        clients.finish(even_midway=False)
+        for descriptor in queued:
+            self._adopt(None, descriptor)
         while clients.connected and loop.time() < begun + self.config.longest_s + KILL_SLACK_S:
+            clients.finish(even_midway=loop.time() >= begun + MIDWAY_S)
             await asyncio.sleep(DRAIN_STEP_S)
-            if loop.time() >= begun + MIDWAY_S:
-                clients.finish(even_midway=True)
 
     async def _hand_over(self, begun: float) -> None:
         """Give every client's connection to the successor, each once nothing taken on it is unanswered."""
--- a/holdgw/router/upstream.py
+++ b/holdgw/router/upstream.py
@@ -34,6 +34,10 @@
     fresh = False  # the first one on its connection
     begun = False  # some of its answer has come
 
+    def unwanted(self) -> Outcome | None:
+        """Why it must not be written any more; asked in the turn in which it would be. None: it may be."""
+        return None
+
     def written(self) -> None:
         """The kernel has taken the last byte of the request."""
 
@@ -384,6 +388,9 @@
         if server is None or not server.open:
             exchange.end(Outcome.CONNECT_FAILED)
             return
+        if (unwanted := exchange.unwanted()) is not None:
+            exchange.end(unwanted)
+            return
         oldest = self._loop.time() - self._idle_limit
         while server.idle:
             connection = server.idle.pop()
@@ -401,11 +408,18 @@
         if not connection.usable:
             connection.close()
             return
-        while server.waiting:
+        while server.waiting and connection.usable:
             exchange = server.waiting.popleft()
-            if not exchange.over:
-                connection.start(exchange)
-                return
+            if exchange.over:
+                continue
+            if (unwanted := exchange.unwanted()) is not None:
+                exchange.end(unwanted)
+                continue
+            connection.start(exchange)
+            return
+        if not connection.usable:  # what followed from an end may have retired it
+            connection.close()
+            return
         connection.idle_since = self._loop.time()
         server.idle.append(connection)
         self._feed_starved()
--- a/holdgw/simulation/transports.py
+++ b/holdgw/simulation/transports.py
@@ -31,6 +31,11 @@
 READ_MOST = 256 << 10  # bytes that uvloop reads at a time
 
 
+def has_left(transport: Any) -> bool:
+    """What `router.platform` asks the kernel, of a simulated transport."""
+    return isinstance(transport, TcpEnd) and transport.left
+
+
 class Socket:
     """As much of a socket as programs look at."""
 
@@ -284,6 +289,11 @@
             return False
         return True
 
+    @property
+    def left(self) -> bool:
+        """Whether the other side has closed or reset the connection, as poll(2) tells it."""
+        return self._fin_came or self._reset_came
+
     # The kernel's half: sending
 
     def _send(self, data: bytes) -> None:
