--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -153,7 +153,8 @@
     kept(report)
     assert [life.router for life in played.history.lives].count("router02") == 2
     assert [life.router for life in played.history.lives].count("router07") == 1
-    lost = {life.router: life.exited for life in reversed(played.history.lives) if life.exited is not None}
+    lost = {life.router: life.told_to_end or 0.0 for life in reversed(played.history.lives)}
+    assert all(0.9 < lost[name] - played.begun < 2.5 for name in ("router02", "router07"))
     since_lost = [
         one
         for name in ("router02", "router07")
