A cold server's part goes by what servers answer, and no router begins with a whole burst

Lines at fault: Node.room began at COLD_BURST at each of 200 routers (400 attempts where N is 120), and usual was counted from what is sent (_send), which in a storm is four times what servers answer. Ruled out: the draw where all are cold (not reached there).

Change: the pace goes by answers (hits and misses); a router begins with a drawn part of one attempt and half a window's pace (rules.fallNs).

--- a/holdgw/policy/interface.py
+++ b/holdgw/policy/interface.py
@@ -121,6 +121,8 @@
     cold_time: int = 0
     fall_multiple: float = 4.0
     """A cold server that is sent more than this multiple of what it can do falls over."""
+    fall_time: int = 0
+    """The time in which it is, nanoseconds; 0: not told."""
     max_attempts: int = 4
     retry_after: bool = False
     max_retry_after: int = NS_PER_S
@@ -142,6 +144,7 @@
         _require(0 < self.cold_share <= 1, "cold_share", "must lie above 0 and not over 1")
         _require(self.fall_multiple > 0, "fall_multiple", "must be above 0")
         _require(self.cold_time >= 0, "cold_time", "must not be negative")
+        _require(self.fall_time >= 0, "fall_time", "must not be negative")
         _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
         _require(self.max_retry_after >= 0, "max_retry_after", "must not be negative")
         _require(0 <= self.worker < self.workers, "worker", "must be the number of one of the workers")
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -68,7 +68,8 @@
 PRESSED_AIM = 0.3  # of the aim, a reported wait from which on a server gives up slots to be level with others
 PICTURE_OWN = 0.3  # of them its own, from which a router's own counts, which are whole, tell more
 SIGHTS_MOST = 1024  # slots noted for other routers between two tellings
-SENT_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
+COLD_AHEAD = 0.5  # of a window's part, which all routers may send a cold server as they first hear of it
+DONE_MEMORY = 10 * NS_PER_S  # longer than a burst that a cold server must not follow
 ON_THE_WAY = NS_PER_S // 20  # from when a request is written until it is there, at most
 ASK_MOST = 2 * NS_PER_S  # until discovery is asked again; 6 s later what it has counts as told
 REGAIN = 60 * NS_PER_S  # time in which a chance comes back by itself, where answers are too few to bring it
@@ -96,7 +97,7 @@
         # What an answer takes there by its last load report, and as of when.
         self.wait, self.told_at = 0.0, 0
         self.share, self._shared_at = 1.0, 0  # the part of its slots that it keeps, and as of when
-        self.room, self.room_at = COLD_BURST, 0  # attempts that it may be sent while cold, and as of when
+        self.room, self.room_at = 0.0, 0  # attempts that it may be sent while cold, and as of when; 0: never
 
     def keeps(self, slot: int, now: int) -> bool:
         """Whether it keeps this slot; the same ones go first at every router, and come back last."""
@@ -429,7 +430,7 @@
         )  # most own attempts out at the origin before writes are held
         self._held: list[Request] = []  # writes waiting for one of them to end; the newest goes first
         self._strain = 0.0
-        self._sent, self._sent_at = 0.0, 0  # attempts at caches, fading, and as of when
+        self._done, self._done_at = 0.0, 0  # caches' answers, fading, and as of when
         self._budget = BUDGET_MOST  # attempts that may be taken for lost by their time
         self._fields = report_places(settings.load_fields)
         self._aim = aim
@@ -512,7 +513,7 @@
             usage=dict(self._usage.counts),
             origin_time=self._origin_time,
             width=self._width,
-            sent=self._sent * math.exp((self._sent_at - now) / SENT_MEMORY),
+            sent=self._done * math.exp((self._done_at - now) / DONE_MEMORY),
         )
 
     def learn(self, learnt: api.Learnt, now: int) -> None:
@@ -533,7 +534,7 @@
         self._origin_time = learnt.origin_time or self._origin_time
         self._width = learnt.width or self._width
         if learnt.sent:
-            self._sent, self._sent_at = learnt.sent, now
+            self._done, self._done_at = learnt.sent, now
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
@@ -594,8 +595,6 @@
         node.load += 1
         if not request.fetching:
             node.room -= 1
-            self._sent = self._sent * math.exp((self._sent_at - self._now) / SENT_MEMORY) + 1
-            self._sent_at = self._now
         request.patience = self._patience(request, node)
         bounded = request.ran is not None and request.cls.effect is Effect.KEYED
         within = request.write_within(self._now) if bounded else 0
@@ -711,13 +710,17 @@
             return request.lot < bears * len(self._caches.nodes) / self._caches.most
         # Danger: each worker of a router would spend the bound anew. So one of them has all of it, always the
         # same one for a server; to the others a cold server has no room, and the next-ranked has the key.
-        workers = self._settings.workers
+        # Danger: what is sent tells less of what servers can do than what they answer. In a storm a request
+        # comes four times, and a cold server would be sent its part of that.
+        now, workers = self._now, self._settings.workers
+        pace = self._done * bears * workers / DONE_MEMORY / len(self._caches.nodes)
         if node.seed % workers != self._settings.worker:
             return False
-        usual = self._sent * workers * NS_PER_S / SENT_MEMORY / len(self._caches.nodes)
-        pace = usual * bears
-        node.room = min(COLD_BURST, node.room + pace * (self._now - node.room_at) / NS_PER_S)
-        node.room_at = self._now
+        if not node.room_at:
+            # Danger: were each router to begin with a whole attempt or two, hundreds of them would send a
+            # cold server more at once than it bears. A part, drawn, keeps their sum at the pace from the start.
+            node.room, node.room_at = self._rng.random() + pace * COLD_AHEAD * self._settings.fall_time, now
+        node.room, node.room_at = min(COLD_BURST, node.room + pace * (now - node.room_at)), now
         return node.room >= 1.0
 
     def _draw(self, node: Node) -> tuple[float, float]:
@@ -803,6 +806,9 @@
             self._budget = min(BUDGET_MOST, self._budget + (1.0 if proof else BUDGET_SHARE))
             if not event.fresh:
                 node.pace += (took - node.pace) / 16 if node.pace else took
+            if not fetched:
+                self._done = self._done * math.exp((self._done_at - self._now) / DONE_MEMORY) + 1
+                self._done_at = self._now
         if not fetched and event.load is not None and self._fields is not None:
             self._told(node, event.load)
         if fetched:
--- a/holdgw/policy/settings.py
+++ b/holdgw/policy/settings.py
@@ -77,6 +77,7 @@
         "cold_share": rules.get("coldShare"),
         "cold_time": rules.get("coldNs"),
         "fall_multiple": rules.get("fallMultiple"),
+        "fall_time": rules.get("fallNs"),
         "max_attempts": ceilings.get("mostTries"),
         "retry_after": ceilings.get("retryAfter"),
         "max_retry_after": ceilings.get("maxRetryAfterNs"),
