--- a/bench/cold_budget.py
+++ b/bench/cold_budget.py
@@ -56,7 +56,7 @@
     cold_share: float = 0.3
     cold_s: float = 8.0
     restarts: str = ""
-    """all: every process starts with the server; tenths: a tenth at a time from then on; pairs: each twice."""
+    """all: every process starts with the server; tenths: a tenth at a time from then; pairs: each twice."""
     others_die: int = 0
     """Servers that refuse connections from the start on."""
     hot: float = 0.0
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -717,8 +717,8 @@
         if node.seed % workers != self._settings.worker:
             return False
         if not node.room_at:
-            # Danger: were each router to begin with a whole attempt or two, hundreds of them would send a
-            # cold server more at once than it bears. A part, drawn, keeps their sum at the pace from the start.
+            # Danger: were each router to begin with a whole attempt or two, hundreds would send a cold
+            # server more at once than it bears. A part, drawn, keeps their sum at the pace from the first.
             node.room, node.room_at = self._rng.random() + pace * COLD_AHEAD * self._settings.fall_time, now
         node.room, node.room_at = min(COLD_BURST, node.room + pace * (now - node.room_at)), now
         return node.room >= 1.0
