--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -2,13 +2,15 @@
 
 Each mutant is the program with one fault written into a copy of its source, loaded in a process of its own.
 Seeds of its scenario (mixed-storm, or one that it names) are played one after the other until one fails;
-where it names a figure of bench.figures, that is played in its place, against the figure's bound. A mutant
-whose text no longer fits is an error.
+where it names a figure of bench.figures, that is played in its place, against the figure's bound, and where
+it names a test, that is run. A mutant whose text no longer fits is an error.
 """
 
 from __future__ import annotations
 
 import argparse
+import contextlib
+import io
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -37,6 +39,8 @@
     scenario: str = "mixed-storm"
     figure: str = ""
     """Sought by this figure of bench.figures, in place of a scenario."""
+    test: str = ""
+    """Sought by this test, in place of either."""
 
     @property
     def edits(self) -> tuple[tuple[str, str, str], ...]:
@@ -329,6 +333,66 @@
         "            if node is not None:\n",
         figure="overruled",
     ),
+    "gone-attempt-kept": Mutant(
+        "an attempt that waits in a queue outlives its client",
+        "holdgw.router.host",
+        "        if request.last is not None:\n            request.last.call_off()\n",
+        "",
+        (
+            (
+                "holdgw.router.host",
+                "        if request.closed:\n            return Outcome.CANCELLED\n",
+                "",
+            ),
+        ),
+        test="tests/test_endings.py::test_nothing_begins_for_a_client_that_left_while_waiting_for_a_place",
+    ),
+    "drain-at-decision": Mutant(
+        "a drain is looked at when a request is decided on, and no more when it is written",
+        "holdgw.router.upstream",
+        "        waiting, server.waiting = server.waiting, deque()\n"
+        "        for exchange in waiting:\n"
+        "            exchange.end(Outcome.CONNECT_FAILED)\n",
+        "",
+        (
+            (
+                "holdgw.router.upstream",
+                "connection.retired = not server.open or server.address != address",
+                "connection.retired = server.address != address",
+            ),
+        ),
+        test="tests/test_endings.py::test_a_dial_to_a_server_that_drains_meanwhile_carries_nothing",
+    ),
+    "close-unread": Mutant(
+        "a connection is closed without reading what is left",
+        "holdgw.router.clients",
+        "        self.transport.write_eof()\n",
+        "        self.transport.close()\n",
+        test="tests/test_endings.py::"
+        "test_a_request_that_crosses_the_end_of_a_resting_connection_is_none_and_resets_nothing",
+    ),
+    "pause-unbounded": Mutant(
+        "pauses between calls to discovery grow without a bound that counts the call's own wait",
+        "holdgw.policy.logic",
+        "NS_PER_S << min(self._failed_calls, 8), ASK_MOST)",
+        "NS_PER_S << min(self._failed_calls, 8))",
+        test="tests/test_endings.py::test_the_longest_waits_added_up_stay_within_what_counts_as_told",
+    ),
+    "reset-is-an-end": Mutant(
+        "a reset ends a body without a length",
+        "holdgw.router.origin",
+        "        if exc is None and self.exchange is not None and self._reader.ended():\n",
+        "        if self.exchange is not None and self._reader.ended():\n",
+        test="tests/test_endings.py::"
+        "test_a_page_without_a_length_ends_with_its_connection_and_not_with_a_reset",
+    ),
+    "cold-undivided": Mutant(
+        "each router has the whole of a cold server's budget",
+        "holdgw.policy.logic",
+        "        pace = self._usual(now) * bears * workers",
+        "        pace = self._usual(now) * bears * workers * self._settings.routers",
+        test="tests/test_cold_budget.py",
+    ),
     "fin-before-answers": Mutant(
         "a client's connection is closed though commands are unanswered",
         "holdgw.router.clients",
@@ -395,6 +459,12 @@
             if (found := figure.play(seed)) > figure.most:
                 return seed, f"{figure.about}: {found:.2f}, over {figure.most:g}"
         return 0, ""
+    if mutant.test:
+        import pytest
+
+        with contextlib.redirect_stdout(io.StringIO()):
+            code = pytest.main(["-q", "-x", "-p", "no:cacheprovider", str(ROOT / mutant.test)])
+        return (1, f"{mutant.test} fails") if code == pytest.ExitCode.TESTS_FAILED else (0, "")
     scenario = mutant.scenario
     from holdgw.rehearsal.scenario import load_scenario
     from holdgw.simulation.search import search
--- a/holdgw/policy/logic.py
+++ b/holdgw/policy/logic.py
@@ -442,13 +442,14 @@
         self._levels = Levels()
         self._sights: dict[str, tuple[float, int]] = {}  # by server: its reported wait, and as of when
         self._asked: dict[int, int] = {}  # requests by slot, for other routers
-        self._now = 0
+        self._now = self._began = 0  # the clock; at the first event
         self._actions: list[api.Action] = []
         self.given_up: dict[str, int] = {}  # requests refused or failed, by the reason
 
     def handle(self, event: api.Event, now: int) -> list[api.Action]:
         """Take one event at clock time `now` and return the actions to carry out, in order."""
         self._now, self._actions = now, []
+        self._began = self._began or now
         match event:
             case api.AttemptEnded():
                 self._attempt_ended(event)
@@ -535,6 +536,7 @@
         self._width = learnt.width or self._width
         if learnt.sent:
             self._done, self._done_at = learnt.sent, now
+            self._began = now - 2 * DONE_MEMORY
 
     def _servers_changed(self, event: api.ServersChanged) -> None:
         if self._settings.must_subscribe:
@@ -713,16 +715,24 @@
         # Danger: what is sent tells less of what servers can do than what they answer. In a storm a request
         # comes four times, and a cold server would be sent its part of that.
         now, workers = self._now, self._settings.workers
-        pace = self._done * bears * workers / DONE_MEMORY / len(self._caches.nodes)
+        pace = self._usual(now) * bears * workers
         if node.seed % workers != self._settings.worker:
             return False
         if not node.room_at:
             # Danger: were each router to begin with a whole attempt or two, hundreds would send a cold
             # server more at once than it bears. A part, drawn, keeps their sum at the pace from the first.
-            node.room, node.room_at = self._rng.random() + pace * COLD_AHEAD * self._settings.fall_time, now
+            # One that has just started itself knows too little for that, and is asked too little to do harm.
+            ahead = pace * COLD_AHEAD * self._settings.fall_time
+            node.room = self._rng.random() + ahead if now - self._began > DONE_MEMORY else COLD_BURST
+            node.room_at = now
         node.room, node.room_at = min(COLD_BURST, node.room + pace * (now - node.room_at)), now
         return node.room >= 1.0
 
+    def _usual(self, now: int) -> float:
+        """Answers a nanosecond of a cache server to this router, as of lately."""
+        heard = -math.expm1(min(self._began - now, -NS_PER_S) / DONE_MEMORY)  # the part that is counted yet
+        return self._done / heard / DONE_MEMORY / len(self._caches.nodes)
+
     def _draw(self, node: Node) -> tuple[float, float]:
         """Fewest own attempts out for its weight; ties by a lottery in proportion to the weights."""
         weight = node.weight * self._caches.warmth(node, self._now)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import struct
@@ -20,7 +21,15 @@
 import orjson
 import pytest
 
-from holdgw.policy import Effect, RequestClass
+from holdgw.policy import (
+    Effect,
+    ListKind,
+    RequestClass,
+    Router,
+    ServersChanged,
+    SetTimer,
+    TimerFired,
+)
 from holdgw.router import clients, discovery, host, program, upstream
 from holdgw.router.platform import accept_queued, has_left
 from tests.helpers import S, settings
@@ -669,10 +678,21 @@
     told = 6.0
     pushed = discovery.PUSHED_WAIT_MS / 1000 + discovery.CALL_SLACK_S
     assert pushed + 2 * (discovery.RETRY_S + discovery.QUICK_S) < told
-    first_pause = 1.0  # test_router: asked for again within 1 s of a first failure, and within 2 s of any
+    first_pause = 1.0
     asked = discovery.ASKED_WAIT_MS / 1000 + discovery.ASKED_SLACK_S + first_pause
     assert asked + discovery.ASKED_SLACK_S <= told
-    assert told > 2.0 + discovery.ASKED_SLACK_S
+    longest = 0
+    router = Router(settings(must_subscribe=True, ask_within=3600 * S), 7)
+    for i in range(40):
+        for action in router.handle(ServersChanged(ListKind.FAILED), i * S):
+            assert isinstance(action, SetTimer)
+            longest = max(longest, action.delay)
+            router.handle(TimerFired("subscribe"), i * S)
+    assert told > longest / S + discovery.ASKED_SLACK_S
+    first = Router(settings(must_subscribe=True, ask_within=3600 * S), 7)
+    (action,) = first.handle(ServersChanged(ListKind.FAILED), 0)
+    assert isinstance(action, SetTimer)
+    assert action.delay <= first_pause * S
 
 
 def test_a_list_from_before_a_move_goes_when_the_new_service_has_given_one(tmp_path: Path) -> None:
@@ -784,3 +804,92 @@
         assert len(stage.cache.seen) > 3
 
     staged(play)
+
+
+# Connections to servers
+
+
+def test_a_connection_that_goes_for_its_descriptor_owes_nothing_and_who_waits_for_it_is_served() -> None:
+    async def test() -> None:
+        async def answer(_: list[bytes]) -> bytes:
+            return HIT
+
+        caches, node = [Cache(answer), Cache(answer)], Node()
+        for cache in caches:
+            await cache.start()
+        await node.start(*(entry(f"s{i}", cache.port) for i, cache in enumerate(caches)))
+        node.pool._limit = 1
+        for i in range(40):
+            assert await node.ask(read(f"r{i}", f"k{i}"), len(SERVED)) == SERVED
+        assert all(cache.seen for cache in caches)
+        assert node.pool.counts["evicted"] > 0
+        assert node.pool.tables()["descriptors_counted"] == 1
+        node.stop()
+        for cache in caches:
+            cache.stop()
+
+    run(test)
+
+
+def test_a_dial_that_is_given_up_ends_who_waits_for_it_and_leaves_no_descriptor() -> None:
+    async def play(stage: Stage) -> None:
+        loop, pool = GatedLoop(), stage.node.pool
+        pool._loop, pool._dial_timeout = cast(Any, loop), 0.01
+        stage.go.set()
+        asked = asyncio.create_task(stage.node.ask(read("r1"), len(SERVED)))
+        await until(lambda: pool.counts["dials timed out"] > 0)
+        pool._dial_timeout = LIMIT_S
+        loop.up.set()
+        assert await asked == SERVED
+        await until(lambda: pool.tables()["dials"] == 0)
+        assert pool.tables()["descriptors_counted"] == pool.tables()["connections"]
+
+    staged(play)
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_resting_connection_that_its_server_closes_as_a_request_is_written(effect: Effect) -> None:
+    async def test() -> None:
+        cls = RequestClass("put", aim=S, deadline=S, effect=effect, dedup_window=S // 2)
+        node, origin = Node(config=settings(classes=(cls,))), Origin(PAGE)
+        await origin.start()
+        await node.start(entry("o", origin.port, "origin"))
+        told = b"c=put,t=a,d=900" + b",k=11" * (effect is Effect.KEYED)
+
+        def put(name: bytes) -> bytes:
+            return command(b"KV.SET", b"k", name, told, b"v")
+
+        assert await node.ask(put(b"w1"), len(SERVED)) == SERVED
+        reader, writer = await node.dial()
+        await until(lambda: node.clients.connected > 0)
+        await asyncio.sleep(0)
+        for server in origin._writers:
+            server.transport.abort()
+        write_now(writer, put(b"w2"))  # the router reads both in one turn, and may read this first
+        answer = await asyncio.wait_for(reader.readline(), LIMIT_S)
+        assert origin.seen <= 2
+        assert answer == b"$5\r\n" if origin.seen == 2 else answer.startswith(b"-")
+        if answer.startswith(b"-BUSY"):  # it says that another try does no harm
+            assert effect is not Effect.UNSAFE
+        writer.close()
+        node.stop()
+        origin.stop()
+
+    run(test)
+
+
+def test_every_ending_on_the_page_names_tests_that_there_are() -> None:
+    root = Path(__file__).resolve().parent
+    there = {
+        name for path in root.rglob("*.py") for name in re.findall(r"^def (test_\w+)", path.read_text(), re.M)
+    }
+    rows = [
+        line
+        for line in (root.parent / "docs" / "endings.md").read_text().splitlines()
+        if line.startswith("| ") and not line.startswith(("| ending", "| ---"))
+    ]
+    assert len(rows) > 20
+    for row in rows:
+        named = re.findall(r"`(test_\w+)`", row)
+        assert named, row
+        assert set(named) <= there, row
