--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -214,8 +214,8 @@
     monkeypatch.setattr(clients, "MAX_PIPELINE", 3)
 
     async def play(stage: Stage) -> None:
-        # It closes the connection, and the request is sent again while its client is there; or answers, and the
-        # next command has its turn.
+        # It closes the connection, and the request is sent again while its client is there; or answers, and
+        # the next command has its turn.
         stage.answer = HIT if "answered" in why else None
         _, writer = await stage.node.dial()
         more = command(b"NOSUCH") if why == "behind a fault" else b""
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -18,7 +18,7 @@
 from holdgw import native
 from holdgw.rehearsal.deployment import run_command
 from tests.helpers import S
-from tests.peers import HIT, LIMIT_S, SERVED, Agent, Cache, entry, read, run
+from tests.peers import HIT, LIMIT_S, SERVED, Agent, Cache, command, entry, read, run
 
 ROOT = Path(__file__).resolve().parent.parent
 RUN = run_command(ROOT / "deploy/balancer.toml")
@@ -89,6 +89,10 @@
                     break
                 assert self.process.returncode is None, "the router ended"
                 await asyncio.sleep(0.02)
+            answer = b""
+            while answer != b"+PONG\r\n":  # a router is asked once it says so
+                writer.write(command(b"PING"))
+                answer = await reader.readline()
             writer.write(read("r1", "k", 4000))
             assert await reader.readexactly(len(SERVED)) == SERVED
             writer.close()
