--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -742,6 +742,31 @@
     run(test)
 
 
+def test_a_burst_that_waits_in_the_accept_queue_never_holds_more_descriptors_than_there_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    made = clients.ClientConnection.connection_made
+    most = accepted = 0
+
+    def counted(connection: clients.ClientConnection, transport: asyncio.BaseTransport) -> None:
+        nonlocal most, accepted
+        accepted += 1
+        most = max(most, len(os.listdir("/proc/self/fd")))
+        made(connection, transport)
+
+    monkeypatch.setattr(clients.ClientConnection, "connection_made", counted)
+
+    async def play(stage: Stage) -> None:
+        before = len(os.listdir("/proc/self/fd"))
+        callers = [socket.create_connection(stage.node.address) for _ in range(300)]  # in one turn
+        await until(lambda: accepted == len(callers))
+        assert 0 < most - before - len(callers) <= 8 + clients.REFUSERS + 1
+        for caller in callers:
+            caller.close()
+
+    staged(play, limit=8)
+
+
 def test_newcomers_find_room_beside_connections_that_linger(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "FRESH_S", 0.0)
     monkeypatch.setattr(clients, "REFUSERS", 2)
