A polled watch without a list begins with a call for the whole list

Callers saw: where discovery is polled, its list is of generation 0 and the configuration has no `known`, a router on several cores never became ready (PING was answered -LOADING). Cause: `_Watch` began with `index=0`; such a call waits for what is newer than 0 (PROTOCOL, "Discovery"), and there is nothing. Change: a watch begins with the whole list unless `resume_from` gave it a version.

--- a/holdgw/router/discovery.py
+++ b/holdgw/router/discovery.py
@@ -104,13 +104,18 @@
         self._now_s = now_s
         self._apply = apply
         self._poll_failed = poll_failed
-        self._watch = _Watch(address, 0, needs_full_list=not is_polled)
+        self._watch = _Watch(address, 0, needs_full_list=True)
         self._previous_watch: _Watch | None = None
         """The watch at the address before a change; it goes on until the new address has sent a list."""
 
     def resume_from(self, generation: int) -> None:
-        """Continue from the version of a list that was received from another source."""
+        """Continue from the version of a list that was received from another source.
+
+        Where discovery is polled, the watch begins with the changes since that version. Calls to an agent
+        are cheap, so its complete list is requested all the same.
+        """
         self._watch.generation = generation
+        self._watch.needs_full_list = not self._is_polled
 
     def start(self) -> None:
         """Get the complete list and watch from then on, where lists are pushed."""
