A router on one process without a cached list subscribes where discovery is polled

Callers saw: with `membershipMode: subscribe` and no `known`, `python -m holdgw.router` never became ready and served nobody. Cause: `Program._start_serving` started the watch only where lists are pushed; the policy sends `Subscribe` after a cached list or a failed poll, and was told of neither. `EndpointFeed` (several cores) did tell it. Change: the program tells the policy of an empty cached list; the policy's jitter then spreads the first polls. Why it works: `EndpointSubscription.on_update(CACHED)` sets the timer whose firing sends `Subscribe`.

--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -18,7 +18,7 @@
 from holdgw.operation.takeover import OverrideChanged, Takeover
 from holdgw.peers.gossip import PeerNode
 from holdgw.peers.load_view import LoadSnapshot, Observations, SampledResponseTime
-from holdgw.policy import NS_PER_S, HandoverState, LoadSnapshotChanged, UpdateKind
+from holdgw.policy import NS_PER_S, EndpointsChanged, HandoverState, LoadSnapshotChanged, UpdateKind
 from holdgw.router.client_listener import ClientListener
 from holdgw.router.config import Config
 from holdgw.router.connection_pool import ConnectionPool
@@ -155,6 +155,9 @@
             listening.set_result(address)
         if not self.config.settings.subscription_required:
             self.discovery.start()
+        elif self.config.known_endpoints is None:
+            # The routing policy subscribes after a cached list; without one it is told of an empty one.
+            self.dispatcher.dispatch(EndpointsChanged(UpdateKind.CACHED))
 
     def _close_components(self) -> None:
         for timer in (self._ready_timer, self._counters_timer):
--- a/tests/processes/test_polled_discovery_start.py
+++ b/tests/processes/test_polled_discovery_start.py
@@ -29,6 +29,7 @@
 from tests.operation.admin_calls import until_serving
 
 ROOT = Path(__file__).resolve().parents[2]
+ONE_PROCESS = ("holdgw.router",)
 TWO_CORES = ("holdgw", "run", "--cores", "2")
 
 
@@ -124,7 +125,7 @@
     writer.close()
 
 
-@pytest.mark.parametrize("module", [TWO_CORES], ids=["two-cores"])
+@pytest.mark.parametrize("module", [ONE_PROCESS, TWO_CORES], ids=["one-process", "two-cores"])
 def test_a_router_without_a_cached_list_asks_polled_discovery_for_the_whole_list(
     tmp_path: Path, module: tuple[str, ...]
 ) -> None:
@@ -138,7 +139,7 @@
     run(test)
 
 
-@pytest.mark.parametrize("module", [TWO_CORES], ids=["two-cores"])
+@pytest.mark.parametrize("module", [ONE_PROCESS, TWO_CORES], ids=["one-process", "two-cores"])
 def test_a_router_without_a_cached_list_polls_again_after_discovery_was_down_at_its_start(
     tmp_path: Path, module: tuple[str, ...]
 ) -> None:
@@ -152,3 +153,19 @@
             await expect_service(deployment.address)
 
     run(test)
+
+
+def test_a_new_process_without_a_cached_list_polls_discovery_during_a_takeover(tmp_path: Path) -> None:
+    # Guards against a new process that never becomes ready, so that the old one can't be replaced.
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=64) as listener:
+            async with deployed(tmp_path) as deployment:
+                old, old_admin = await deployment.start_process(ONE_PROCESS, listener)
+                await asyncio.wait_for(until_serving(old_admin, old), LIMIT_S)
+                new, new_admin = await deployment.start_process(ONE_PROCESS, listener)
+                await asyncio.wait_for(until_serving(new_admin, new), LIMIT_S)
+                old.send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(old.wait(), LIMIT_S) == 0
+                await expect_service(listener.getsockname())
+
+    run(test)
