Commands that were read with others are answered before their connection closes

Cause: `_parse_commands` stopped at `_closing_after_replies`, and what the reader still held was dropped: behind an invalid command, on a connection above the limit, and above MAX_PIPELINE when a shutdown closes amid commands. Change: such commands are rejected with -BUSY; a second invalid one ends the answers, so noise still gets one error. `Dispatcher.reject` checks the command first: an unknown class raised KeyError there, a known id may be running.

--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -43,7 +43,7 @@
         """Serve a request and send its answer through `reply`."""
 
     def reject(self, command: Command, reply: Reply) -> None:
-        """Reject a request because its connection exceeds the limit."""
+        """Reject a request that is not served because its connection closes; it is in no table."""
 
     def client_disconnected(self, reply: Reply) -> None:
         """Note that the client that waits for this reply has disconnected."""
@@ -80,7 +80,9 @@
         self._reader = CommandReader()
         self._reading = True
         self._parsing = False
-        self._closing_after_replies = False  # no further commands are read
+        self._closing_after_replies = False  # no more input is read; commands read before are answered
+        self._has_invalid_command = False  # an error is among the answers
+        self._drops_commands = False  # the commands behind a second invalid one are not answered
         self._closing_when_idle = False
         self._handing_over = False  # further commands are left to the new process
         self._unsent_at_last_check = 0
@@ -213,8 +215,14 @@
         if self._closing_after_replies and not self.replies:
             self._start_lingering_close()
 
+    @property
+    def _may_parse(self) -> bool:
+        if self._closing_after_replies:
+            return not self._drops_commands
+        return not self._handing_over and len(self.replies) < MAX_PIPELINE
+
     def _parse_commands(self) -> None:
-        while not (self._closing_after_replies or self._handing_over) and len(self.replies) < MAX_PIPELINE:
+        while self._may_parse:
             words = self._reader.next_command()
             if words is None:
                 break
@@ -240,7 +248,9 @@
         except ValueError as error:
             reply.send_error_and_close(str(error))
             return
-        if self.rejects_requests:
+        if self.rejects_requests or self._closing_after_replies:
+            # Commands behind this one may have been read with it. They are rejected too: a request that was
+            # read and got no answer is lost.
             self._closing_after_replies = True
             handler.reject(command, reply)
             return
@@ -290,9 +300,17 @@
     # Closing
 
     def fail_and_close(self, reply: Reply, message: str) -> None:
-        """Answer with an error, and close once all earlier commands are answered."""
+        """Answer with an error, and close once the commands that were read are answered.
+
+        A second invalid command gets no error and ends the answers: a client that sends noise is owed one.
+        """
         self._closing_after_replies = True
         self._update_reading()
+        if self._has_invalid_command:
+            self._drops_commands = True
+            self.replies.remove(reply)
+            return
+        self._has_invalid_command = True
         reply.send(b"-ERR %b\r\n" % message.encode())
 
     def close_amid_answer(self) -> None:
@@ -316,8 +334,9 @@
             self._start_lingering_close()
         elif even_mid_command:
             # A client that always has an unanswered request would be served until SIGKILL, and lose one then.
+            # Commands that were read and wait for room in the pipeline are rejected.
             self._closing_after_replies = True
-            self._update_reading()
+            self._process_commands()
 
     def evict(self, at_once: bool) -> None:
         """Close to free the descriptor for another connection; `at_once`: without a lingering close."""
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -58,6 +58,7 @@
 MIN_LOGGED_LAG_NS = NS_PER_S
 OVERDUE_NS = 10 * NS_PER_MS
 """Time past its deadline after which the dispatcher answers a request that the routing policy has not."""
+DUPLICATE_ID = "duplicate id"
 MAX_TIMEOUT_FACTOR = 2
 """The longest timeout that a client may set, as a multiple of its request class's deadline."""
 
@@ -205,9 +206,9 @@
             self.shared_state is not None and not self.shared_state.claim(command.id)
         ):
             # Two requests with one id would share attempts, and one would get the other's answer.
-            reply.send_error_and_close("duplicate id")
+            reply.send_error_and_close(DUPLICATE_ID)
         elif self.open_requests.is_full() or deadline_ns <= now_ns:
-            self.reject(command, reply)
+            self._send_busy(command, reply)
         else:
             self._open(OpenRequest(request_id, command, reply, deadline_ns, now_ns - unread_ns), now_ns)
 
@@ -240,6 +241,16 @@
         )
 
     def reject(self, command: Command, reply: Reply) -> None:
+        """Reject a request whose connection closes, or answer it with an error if it is invalid."""
+        error_text = command_error(command, self._classes.get(command.info.class_name))
+        if error_text:
+            reply.send_error_and_close(error_text)
+        elif self.open_requests.knows(command.id.decode("ascii")):
+            reply.send_error_and_close(DUPLICATE_ID)  # a rejection promises that no attempt was made
+        else:
+            self._send_busy(command, reply)
+
+    def _send_busy(self, command: Command, reply: Reply) -> None:
         """Reject a request that is past its deadline or over a limit, without a Retry-After."""
         self.metrics.count_answer(command.info.class_name, Disposition.DECLINED)
         reply.send(BUSY)
--- a/tests/router/test_sockets.py
+++ b/tests/router/test_sockets.py
@@ -283,6 +283,81 @@
     run(test)
 
 
+def test_valid_commands_read_behind_an_invalid_one_are_rejected() -> None:
+    # Guards against requests of a pipeline that are read and then lost with their connection.
+    async def test() -> None:
+        async def answer(_: list[bytes]) -> bytes:
+            return HIT
+
+        cache, router = Cache(answer), LoopbackRouter()
+        await cache.start()
+        await router.start(entry("s1", cache.port))
+        invalid = command(b"KV.GET", b"k", b"id1", b"c=read,t=a,d=0")
+        valid = b"".join(read(f"r{i}") for i in range(3))
+        assert await router.ask(invalid + valid, 1000) == (
+            b"-ERR d must be a number of milliseconds\r\n" + 3 * b"-BUSY\r\n"
+        )
+        assert cache.seen == []
+        router.stop()
+        cache.stop()
+
+    run(test)
+
+
+def test_every_command_read_on_a_connection_above_the_limit_is_rejected() -> None:
+    # Guards against requests of a pipeline that are read and then lost with their connection.
+    async def test() -> None:
+        request_received, answers_released = asyncio.Event(), asyncio.Event()
+
+        async def answer(_: list[bytes]) -> bytes:
+            request_received.set()
+            await answers_released.wait()
+            return HIT
+
+        cache, router = Cache(answer), LoopbackRouter(limit=1)
+        await cache.start()
+        await router.start(entry("s1", cache.port))
+        first = asyncio.create_task(router.ask(read("r0"), len(SERVED)))
+        await asyncio.wait_for(request_received.wait(), LIMIT_S)
+        pipeline = b"".join(read(f"p{i}") for i in range(5))
+        assert await router.ask(pipeline, 1000) == 5 * b"-BUSY\r\n"
+        answers_released.set()
+        assert await first == SERVED
+        router.stop()
+        cache.stop()
+
+    run(test)
+
+
+def test_commands_above_the_pipeline_limit_are_rejected_when_their_connection_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against requests that a router has read and forgets as its shutdown closes the connection.
+    monkeypatch.setattr(client_connection, "MAX_PIPELINE", 2)
+
+    async def test() -> None:
+        request_received, answers_released = asyncio.Event(), asyncio.Event()
+
+        async def answer(_: list[bytes]) -> bytes:
+            request_received.set()
+            await answers_released.wait()
+            return HIT
+
+        cache, router = Cache(answer), LoopbackRouter()
+        await cache.start()
+        await router.start(entry("s1", cache.port))
+        pipeline = b"".join(read(f"p{i}") for i in range(5))
+        answered = asyncio.create_task(router.ask(pipeline, 1000))
+        await asyncio.wait_for(request_received.wait(), LIMIT_S)
+        router.clients.close_gracefully(even_mid_command=True)
+        answers_released.set()
+        assert await asyncio.wait_for(answered, LIMIT_S) == 2 * SERVED + 3 * b"-BUSY\r\n"
+        router.stop()
+        cache.stop()
+
+    run(test)
+
+
 @pytest.mark.parametrize("effect", list(Idempotency))
 @pytest.mark.parametrize("write", [False, True])
 def test_the_command_decides_whether_it_writes_and_the_class_its_idempotency(
