The fleet model counts rejected and failed requests; a server's id by its field

Cause: `hasattr(action, "request")` in `Fleet._apply_actions`; the field has been `request_id` since. Change: `isinstance(action, Reject | Fail)`. The same kind of fault in bench/slopes_keys.py (`getattr(sent, "server", "")`).

--- a/bench/slopes_keys.py
+++ b/bench/slopes_keys.py
@@ -26,6 +26,7 @@
     RequestArrived,
     RequestClass,
     RoutingPolicy,
+    SendAttempt,
     Settings,
     UpdateKind,
 )
@@ -114,8 +115,8 @@
             now, request_id = self._requests * NS_PER_S // 934, f"r{self._requests}"
             event = RequestArrived(request_id, "read", now + NS_PER_S, key=key)
             (sent, *_) = self._policy.handle(event, now)
-            server = getattr(sent, "server", "")
-            ended = AttemptEnded(request_id, 0, server, Outcome.OK, True, 1_000_000)
+            assert isinstance(sent, SendAttempt)
+            ended = AttemptEnded(request_id, 0, sent.endpoint_id, Outcome.OK, True, 1_000_000)
             self._policy.handle(ended, now + 1_000_000)
 
 
--- a/holdgw/simulation/fleet.py
+++ b/holdgw/simulation/fleet.py
@@ -23,6 +23,7 @@
     Endpoint,
     EndpointsChanged,
     EndpointState,
+    Fail,
     LoadSnapshotChanged,
     Outcome,
     Reject,
@@ -138,6 +139,11 @@
             self.at(int(self.random.random() * REPORT_NS), lambda router=router: self._report(router))  # type: ignore[misc]
         self._schedule_request()
 
+    @property
+    def open_count(self) -> int:
+        """The number of requests that have arrived at a router and have no final answer yet."""
+        return len(self._open)
+
     def run(self, until_s: float) -> None:
         """Run until a second of simulated time."""
         self.run_until(int(until_s * NS_PER_S))
@@ -219,10 +225,10 @@
         for action in actions:
             if isinstance(action, SendAttempt):
                 self._send_attempt(router, action)
-            elif hasattr(action, "request"):
+            elif isinstance(action, Reject | Fail):
                 self.request_counts["refused" if isinstance(action, Reject) else "failed"] += 1
                 self.late_by_second[self.now // NS_PER_S] += 1
-                self._open.pop(action.request, None)
+                self._open.pop(action.request_id, None)
 
     def _send_attempt(self, router: SimulatedPolicy, send: SendAttempt) -> None:
         _, key, started_at, attempt = self._open[send.request_id]
