A line for each close by the router that leaves commands, input or answers over

Change: `CloseCause` and `ConnectionEnd` (connection_close): each path that ends a client's connection names its cause, and a warning tells what was left: commands unanswered, input unprocessed, answers unsent, input after our shutdown.

--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Protocol, cast
 
 from holdgw.operation.process_link import MAX_PENDING_COMMAND_BYTES, ClientHandover
-from holdgw.router.connection_close import LingeringClose
+from holdgw.router.connection_close import CloseCause, ConnectionEnd, LingeringClose
 from holdgw.router.reply import MAX_UNSENT_BYTES, Reply
 from holdgw.wire.resp import Command, CommandReader, parse_request
 from holdgw.wire.unread import unread_ns
@@ -87,6 +87,7 @@
         self._handing_over = False  # further commands are left to the new process
         self._unsent_at_last_check = 0
         self._lingering: LingeringClose | None = None
+        self._close_cause: CloseCause | None = None  # of the lingering close
 
     # Protocol callbacks of asyncio
 
@@ -108,11 +109,11 @@
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Release the resources of a disconnected client."""
-        self._on_disconnected()
+        self._on_disconnected(CloseCause.CLIENT_LEFT)
 
     def eof_received(self) -> bool:
         """Treat a client that shuts down its sending side as disconnected."""
-        self._on_disconnected()
+        self._on_disconnected(CloseCause.CLIENT_LEFT)
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -178,7 +179,7 @@
         forwarded long after their client left.
         """
         if not self.closed and self.transport is not None and self.listener.peer_closed(self.transport):
-            self.abort()
+            self.abort(CloseCause.CLIENT_LEFT)
         return self.closed
 
     @property
@@ -208,7 +209,7 @@
             self._parse_commands()
         except Exception:
             log.exception("reading a client's command failed, closing connection")
-            self.abort()
+            self.abort(CloseCause.FAULT)
         finally:
             self._parsing = False
         self._update_reading()
@@ -251,7 +252,7 @@
         if self.rejects_requests or self._closing_after_replies:
             # Commands behind this one may have been read with it. They are rejected too: a request that was
             # read and got no answer is lost.
-            self._closing_after_replies = True
+            self._close_after_replies(CloseCause.OVER_LIMIT)
             handler.reject(command, reply)
             return
         self.has_sent_command = True
@@ -304,7 +305,7 @@
 
         A second invalid command gets no error and ends the answers: a client that sends noise is owed one.
         """
-        self._closing_after_replies = True
+        self._close_after_replies(CloseCause.INVALID_COMMAND)
         self._update_reading()
         if self._has_invalid_command:
             self._drops_commands = True
@@ -319,37 +320,42 @@
         The client would read the next answer's bytes as the rest of this one. The later requests on the
         connection are lost.
         """
-        self._closing_after_replies = True
+        self._close_after_replies(CloseCause.BROKEN_VALUE)
         if self.transport is not None:
             self.transport.close()
-        self._on_disconnected()
+        self._on_disconnected(CloseCause.BROKEN_VALUE)
 
-    def close_gracefully(self, even_mid_command: bool) -> None:
+    def close_gracefully(self, even_mid_command: bool, cause: CloseCause = CloseCause.SHUTDOWN) -> None:
         """Close as soon as no request is unanswered; `even_mid_command`: also amid an incomplete command."""
         if self.transport is None or self.closed or self._lingering is not None:
             return
         self._closing_when_idle = True
         unfinished = self._reader.has_partial_command or self._awaits_first_command
         if not self.replies and (even_mid_command or not unfinished):
-            self._start_lingering_close()
+            self._start_lingering_close(cause)
         elif even_mid_command:
             # A client that always has an unanswered request would be served until SIGKILL, and lose one then.
             # Commands that were read and wait for room in the pipeline are rejected.
-            self._closing_after_replies = True
+            self._close_after_replies(cause)
             self._process_commands()
 
     def evict(self, at_once: bool) -> None:
         """Close to free the descriptor for another connection; `at_once`: without a lingering close."""
         if at_once:
-            self.abort()
+            self.abort(CloseCause.EVICTED)
         else:
-            self._start_lingering_close()
+            self._start_lingering_close(CloseCause.EVICTED)
 
-    def abort(self) -> None:
+    def abort(self, cause: CloseCause) -> None:
         """Close at once and drop unsent bytes."""
+        unsent_bytes = self.unsent_bytes
         if self.transport is not None:
             self.transport.abort()
-        self._on_disconnected()
+        self._on_disconnected(cause, unsent_bytes)
+
+    def _close_after_replies(self, cause: CloseCause) -> None:
+        self._closing_after_replies = True
+        self._close_cause = self._close_cause or cause
 
     def hand_over(self, send: Callable[[ClientHandover, int], None], stop_reading: bool) -> bool:
         """Pass the connection to another process if no request is unanswered; returns whether it was passed.
@@ -376,26 +382,37 @@
         waited_s = max(self.listener.loop.time() - waiting_since_s, 0.0)
         unread_since = self.listener.handler.unread_since()
         handover = ClientHandover(pending_bytes, self.has_sent_command, waited_s, unread_since)
-        self.abort()
+        self._reader = CommandReader()  # what the old one holds is passed on
+        self.abort(CloseCause.HANDED_OVER)
         send(handover, descriptor)
         return True
 
-    def _start_lingering_close(self) -> None:
+    def _start_lingering_close(self, cause: CloseCause = CloseCause.SHUTDOWN) -> None:
         if self.transport is None or self._lingering is not None or self.transport.is_closing():
             return
-        self._closing_after_replies = True
+        self._close_after_replies(cause)
         self.listener.lingering[self] = None
         self._lingering = LingeringClose(self, self.listener.loop)
         self._update_reading()
         self.transport.write_eof()
 
-    def _on_disconnected(self) -> None:
+    def _on_disconnected(self, cause: CloseCause, unsent_bytes: int = 0) -> None:
+        discarded_bytes = 0
         if self._lingering is not None:
+            cause = self._close_cause or cause
+            discarded_bytes = self._lingering.discarded_bytes
             self._lingering.cancel()
             self._lingering = None
         if self.closed:
             return
         self.closed = True
+        ConnectionEnd(
+            cause,
+            len(self.replies),
+            self._reader.buffered_count,
+            unsent_bytes,
+            discarded_bytes,
+        ).log()
         self.listener.connection_closed(self)
         replies = self.replies
         self.replies = deque()
@@ -426,7 +443,7 @@
             if now_s - self.command_started_at > COMMAND_TIMEOUT_S:
                 self._add_reply().send_error_and_close("Protocol error: no whole command in time")
         elif now_s - self.last_active_at > idle_timeout_s:
-            self._start_lingering_close()
+            self._start_lingering_close(CloseCause.IDLE)
 
     def _check_write_stall(self, now_s: float, unsent_bytes: int) -> None:
         if unsent_bytes != self._unsent_at_last_check:
@@ -436,4 +453,4 @@
         timeout_s = STREAM_STALL_TIMEOUT_S if is_streaming else WRITE_STALL_TIMEOUT_S
         if now_s - self.last_active_at > timeout_s:
             log.warning("client write stalled, closing connection unsent_bytes=%d", unsent_bytes)
-            self.abort()
+            self.abort(CloseCause.WRITE_STALL)
--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -12,6 +12,7 @@
 
 from holdgw.operation.process_link import ClientHandover
 from holdgw.router.client_connection import ClientConnection, RequestHandler
+from holdgw.router.connection_close import CloseCause
 from holdgw.router.platform import accept_queued, peer_closed
 from holdgw.wire.address import Address
 
@@ -122,14 +123,14 @@
         # Without a limit, clients that only connect would leave no descriptors for endpoints or others.
         is_full = len(self._connections) >= self._limit + MAX_REJECTING_CONNECTIONS
         if is_full and self.lingering:
-            next(iter(self.lingering)).abort()
+            next(iter(self.lingering)).abort(CloseCause.EVICTED)
             is_full = False
         if len(self._connections) - len(self.lingering) >= self._limit:
             candidate = self._eviction_candidate()
             if candidate is not None:
                 candidate.evict(at_once=is_full)
             elif is_full:
-                connection.abort()
+                connection.abort(CloseCause.OVER_LIMIT)
                 return
             else:
                 connection.rejects_requests = True
@@ -204,7 +205,7 @@
         if self._server is not None:
             self._server.close()
         for connection in self.connections:
-            connection.abort()
+            connection.abort(CloseCause.SHUTDOWN)
 
     def _sweep(self) -> None:
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -230,7 +231,7 @@
             return
         for connection in sorted(idle, key=lambda connection: connection.last_active_at)[:excess]:
             if now_s - connection.last_active_at > MIN_IDLE_S:
-                connection.close_gracefully(even_mid_command=False)
+                connection.close_gracefully(even_mid_command=False, cause=CloseCause.IDLE)
 
     def _bound_unsent_bytes(self) -> None:
         """Close the clients with the most unsent bytes if all unsent bytes exceed the limit.
@@ -252,4 +253,4 @@
                 connection.unsent_bytes,
                 self._max_unsent_bytes,
             )
-            connection.abort()
+            connection.abort(CloseCause.UNSENT_LIMIT)
--- a/holdgw/router/connection_close.py
+++ b/holdgw/router/connection_close.py
@@ -1,4 +1,6 @@
-"""The lingering close of a client's connection: the router shuts down its side, then waits for the client's.
+"""The end of a client's connection: its cause and what it leaves unanswered, and the lingering close.
+
+In a lingering close the router shuts down its side, then waits for the client to close its own.
 
 Closing a socket with unread bytes resets the connection, and the reset may discard the last answer before
 the client reads it. Input is therefore read and discarded until the client closes its side (RFC 9112, section
@@ -8,6 +10,9 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -18,6 +23,62 @@
 MAX_DISCARDED_BYTES = 256 << 10
 """Input that is read and discarded meanwhile; more stays in the kernel's buffers."""
 
+log = logging.getLogger("holdgw")
+
+
+class CloseCause(Enum):
+    """Why a client's connection ends."""
+
+    CLIENT_LEFT = "client left"
+    INVALID_COMMAND = "invalid command"
+    IDLE = "idle"
+    EVICTED = "evicted"
+    OVER_LIMIT = "over the connection limit"
+    SHUTDOWN = "shutdown"
+    HANDED_OVER = "handed over"
+    BROKEN_VALUE = "streamed value broke off"
+    WRITE_STALL = "client accepts nothing"
+    UNSENT_LIMIT = "unsent answers over the limit"
+    FAULT = "fault"
+
+
+UNLOGGED_CAUSES = frozenset({CloseCause.CLIENT_LEFT, CloseCause.INVALID_COMMAND, CloseCause.OVER_LIMIT})
+"""Causes that clients bring about, as often as they like."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionEnd:
+    """The state of a client's connection when it ends."""
+
+    cause: CloseCause
+    unanswered: int
+    """Commands whose answers were not written."""
+    buffered_bytes: int
+    """Input that was read and not processed."""
+    unsent_bytes: int
+    """Bytes of answers that the kernel had not accepted."""
+    discarded_bytes: int
+    """Input that arrived after the router had shut down its side."""
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether nothing was left over."""
+        return not (self.unanswered or self.buffered_bytes or self.unsent_bytes or self.discarded_bytes)
+
+    def log(self) -> None:
+        """Write a line if the router closed the connection and something was left over."""
+        if self.is_clean or self.cause in UNLOGGED_CAUSES:
+            return
+        log.warning(
+            "client connection closed cause=%s unanswered=%d buffered_bytes=%d unsent_bytes=%d "
+            "discarded_bytes=%d",
+            self.cause.value.replace(" ", "_"),
+            self.unanswered,
+            self.buffered_bytes,
+            self.unsent_bytes,
+            self.discarded_bytes,
+        )
+
 
 class LingeringClose:
     """Discards input until the client closes its side, and aborts the connection after a timeout."""
@@ -50,4 +111,4 @@
         if self._connection.unsent_bytes and not self._connection.closed:
             self._timer = self._loop.call_later(LINGER_TIMEOUT_S, self._timed_out)
         else:
-            self._connection.abort()
+            self._connection.abort(CloseCause.CLIENT_LEFT)
--- a/holdgw/wire/resp.py
+++ b/holdgw/wire/resp.py
@@ -123,6 +123,11 @@
         """The bytes that are buffered: of a partial command, and of complete ones not returned yet."""
         return bytes(self._buffer[self._start :])
 
+    @property
+    def buffered_count(self) -> int:
+        """The number of bytes that `buffered` would return."""
+        return len(self._buffer) - self._start
+
     @property
     def has_partial_command(self) -> bool:
         """Whether bytes of a command are buffered."""
