A long value is held back while commands wait behind it, so that its break loses none of them

Callers saw: with several requests in one write, those behind a value of over 64 KiB that broke off got no answer. Cause: `StreamedAnswer.write` wrote the first part at once; when the value then breaks, `abort_stream` can only close the connection (`close_amid_answer`), and the commands behind it, read already, go with it. Change: the answer is held back while commands wait behind it (512 KiB, 0.5 s, half of the client's time, half of the memory for unsent answers); a break meanwhile is an error, and those behind are served. Left: breaks beyond these limits, and commands that come after the first part.

--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -14,6 +14,7 @@
 from holdgw.router.client_connection import ClientConnection, RequestHandler
 from holdgw.router.connection_close import CloseCause
 from holdgw.router.platform import accept_queued, peer_closed
+from holdgw.router.reply import MAX_HELD_BYTES
 from holdgw.wire.address import Address
 
 LISTEN_BACKLOG = 1024
@@ -30,6 +31,8 @@
 """Idle time before a connection is closed because too many are idle."""
 MAX_REJECTING_CONNECTIONS = 32
 """Connections above the limit that are accepted only to reject their requests."""
+HELD_MEMORY_DIVISOR = 2
+"""The limit for unsent answers divided by this is the most that streamed answers take which are held back."""
 SWEEP_INTERVAL_S = 0.25
 DEFAULT_MAX_UNSENT_BYTES = 8 << 20
 
@@ -68,6 +71,8 @@
         """Duplicates a transport's descriptor for another process; the sender closes the duplicate."""
         self.lingering: dict[ClientConnection, None] = {}
         """Connections in a lingering close, the oldest first."""
+        self.holding: dict[ClientConnection, None] = {}
+        """Connections that hold a streamed answer back."""
         self._limit = limit
         self._max_unsent_bytes = max_unsent_bytes
         self._connections: dict[ClientConnection, None] = {}
@@ -140,6 +145,15 @@
         """Remove a closed connection."""
         self._connections.pop(connection, None)
         self.lingering.pop(connection, None)
+        self.holding.pop(connection, None)
+
+    def may_hold(self, connection: ClientConnection) -> bool:
+        """Whether a connection may hold a streamed answer back; if so, it is entered in `holding`."""
+        max_count = self._max_unsent_bytes // (HELD_MEMORY_DIVISOR * MAX_HELD_BYTES)
+        if connection not in self.holding and len(self.holding) >= max_count:
+            return False
+        self.holding[connection] = None
+        return True
 
     def _eviction_candidate(self) -> ClientConnection | None:
         """The connection to evict: a silent one if there is any, else the one idle longest.
--- a/holdgw/router/streamed_value.py
+++ b/holdgw/router/streamed_value.py
@@ -13,6 +13,10 @@
 
 STREAM_STALL_NS = 8 * NS_PER_S
 """Longest pause within a value before its endpoint counts as stalled."""
+MAX_HOLD_S = 0.5
+"""Longest time for which a value is held back; clients take 2 s without its rest for a loss."""
+MAX_HOLD_FRACTION = 0.5
+"""The same, of the time until the request's deadline."""
 
 
 class StreamedValue:
@@ -33,7 +37,9 @@
 
     def start_answer(self, length: int) -> None:
         """Start the client's answer with a value of `length` bytes."""
-        self._request.reply.start_stream(resp.bulk_header(length), self)
+        remaining_s = max(self._request.deadline_ns - self.started_ns, 0) / NS_PER_S
+        max_hold_s = min(remaining_s * MAX_HOLD_FRACTION, MAX_HOLD_S)
+        self._request.reply.start_stream(resp.bulk_header(length), self, max_hold_s)
 
     def write(self, data: bytes) -> None:
         """Forward a part of the value, unless the client has disconnected."""
--- a/tests/router/test_long_values.py
+++ b/tests/router/test_long_values.py
@@ -229,6 +229,105 @@
     run(test)
 
 
+class BreakingCache(LoopbackServer):
+    """A cache server whose value breaks off for the request `broken`, and is short for all others."""
+
+    def __init__(self, size: int, arrived: bytes) -> None:
+        super().__init__()
+        self.size, self.arrived = size, arrived
+        self.first_allowed: asyncio.Event | None = None
+        """The request `first` is answered once this is set; None: at once."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
+        while True:
+            words = []
+            for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
+                size = int((await reader.readuntil(b"\r\n"))[1:])
+                words.append((await reader.readexactly(size + 2))[:-2])
+            if words[2] == b"broken":
+                writer.write(array_header(self.size) + self.arrived)
+                return
+            if words[2] == b"whole":
+                writer.write(array_header(self.size) + self.arrived)
+                continue
+            if words[2] == b"first" and self.first_allowed is not None:
+                await self.first_allowed.wait()
+            writer.write(array_header(5) + b"value" + TAIL)
+
+
+@pytest.mark.parametrize("size", [MAX_BUFFERED_VALUE_BYTES + 1, 300_000])
+@pytest.mark.parametrize("arrived_fraction", [0.0, 0.3, 0.99])
+def test_commands_behind_a_value_that_breaks_off_are_answered(size: int, arrived_fraction: float) -> None:
+    # Guards against requests that are read and then lost with the connection on which a value broke off.
+    async def test() -> None:
+        behind = [f"behind{i}" for i in range(10)]
+        cache = BreakingCache(size, b"v" * int(size * arrived_fraction))
+        await cache.start()
+        router = LoopbackRouter()
+        await router.start(entry("s1", cache.port))
+        reader, writer = await router.dial()
+        writer.write(b"".join(read(name, f"key-{name}", 1900) for name in ("first", "broken", *behind)))
+        assert await read_exactly(reader, len(bulk(b"value"))) == bulk(b"value")
+        assert (await asyncio.wait_for(reader.readline(), LIMIT_S)).startswith(b"-ERR")
+        assert await read_exactly(reader, 10 * len(bulk(b"value"))) == 10 * bulk(b"value")
+        writer.close()
+        router.stop()
+        cache.stop()
+
+    run(test)
+
+
+def test_a_value_held_back_is_read_on_after_it_waited_for_its_turn() -> None:
+    # Guards against a value whose source was paused while it waited, and is never resumed.
+    async def test() -> None:
+        first_allowed = asyncio.Event()
+        cache = BreakingCache(300_000, b"v" * 300_000 + TAIL)
+        cache.first_allowed = first_allowed
+        await cache.start()
+        router = LoopbackRouter()
+        await router.start(entry("s1", cache.port))
+        reader, writer = await router.dial()
+        writer.write(b"".join(read(name, f"key-{name}", 1900) for name in ("first", "whole", "behind")))
+        while not any(pool.streaming for pool in router.pool._endpoints.values()):
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)  # lets the value arrive up to its limit; the assertions don't depend on it
+        first_allowed.set()
+        assert await read_exactly(reader, len(bulk(b"value"))) == bulk(b"value")
+        assert await read_exactly(reader, len(bulk(b"v" * 300_000))) == bulk(b"v" * 300_000)
+        assert await read_exactly(reader, len(bulk(b"value"))) == bulk(b"value")
+        writer.close()
+        router.stop()
+        cache.stop()
+
+    run(test)
+
+
+def test_a_value_is_not_held_back_for_longer_than_half_of_its_clients_time() -> None:
+    # Guards against a long value that is delayed until its client has given up.
+    async def test() -> None:
+        rest_allowed = asyncio.Event()
+        size = MAX_BUFFERED_VALUE_BYTES + 1000
+
+        async def slow(writer: Writer) -> bool:
+            writer.write(array_header(size) + b"v" * 70)
+            await rest_allowed.wait()
+            writer.write(b"v" * (size - 70) + TAIL)
+            return True
+
+        second = answer_with(array_header(5) + b"value" + TAIL)
+        async with StreamingSetup(ScriptedServer(slow, second)) as setup:
+            reader, writer = await setup.ask("slow", "behind", wait=900)
+            head = b"$%d\r\n" % size + b"v" * 70
+            assert await read_exactly(reader, len(head)) == head
+            rest_allowed.set()
+            assert await read_exactly(reader, size - 70 + 2) == b"v" * (size - 70) + b"\r\n"
+            assert await read_exactly(reader, len(bulk(b"value"))) == bulk(b"value")
+            writer.close()
+            await setup.until_idle()
+
+    run(test)
+
+
 def test_a_streamed_value_that_breaks_before_its_turn_becomes_an_error() -> None:
     async def test() -> None:
         first_released = asyncio.Event()
