--- a/bench/soak_routers.py
+++ b/bench/soak_routers.py
@@ -29,6 +29,8 @@
 """Time between two signals of a series."""
 RELOAD_S = 4.0
 """Time after SIGHUP from which what the new discovery address has to tell counts as told."""
+LOGGED_LINES = 3
+"""Lines of a router's log that a violation shows."""
 READY_S = 10.0
 KIB_PER_MIB = 1024
 LOCAL_ADDRESS, REMOTE_ADDRESS, INODE = 1, 2, 9
@@ -300,4 +302,6 @@
             self.listener.close()
 
     def _violation(self, text: str) -> None:
-        self._records.violations.append(f"router {self.target.name}: {text}")
+        lines = self._log.read_text().splitlines() if self._log.exists() else []
+        last = "; last in its log: " + " / ".join(lines[-LOGGED_LINES:]) if lines else ""
+        self._records.violations.append(f"router {self.target.name}: {text}{last}")
