--- a/bench/soak_plan.py
+++ b/bench/soak_plan.py
@@ -44,6 +44,8 @@
     """Fraction of the requests whose connection a cache server resets."""
     drain_after_outage: bool
     """Whether discovery is down for a while, and a cache server drains at its return."""
+    invalid_commands: float
+    """Fraction of the commands that are invalid; each ends its connection once those behind are answered."""
 
 
 def draw_plan(seed: int) -> SoakPlan:
@@ -61,4 +63,5 @@
         broken_values=draw.choice((0.0, 0.1)),
         resets=draw.choice((0.0, 0.03)),
         drain_after_outage=draw.random() < 0.5,
+        invalid_commands=draw.choice((0.0, 0.02)),
     )
