The soak takes a router that ends as its time is over for an end, not for an error of its own

Cause: the log's trace: soak_routers.py, `_end`: the wait for the exit ended with its time, the process had ended meanwhile, and `process.kill()` raises for an ended process (asyncio/base_subprocess.py, `_check_proc`). Change: the kill may find no process; a router counts as killed by its exit code, and any other end is judged as before.

--- a/bench/soak_routers.py
+++ b/bench/soak_routers.py
@@ -258,9 +258,11 @@
             async with asyncio.timeout_at(kill_at_s):
                 await process.wait()
         except TimeoutError:
-            self._records.counts["killed"] += 1
-            process.kill()
+            with suppress(ProcessLookupError):  # it may end as the time is over
+                process.kill()
             await process.wait()
+        if process.returncode == -signal.SIGKILL:
+            self._records.counts["killed"] += 1
             return
         if process.returncode != 0:
             self._violation(f"exit code {process.returncode} after SIGTERM")
