A request whose client has no time left (d=0) is rejected and ends no connection

Cause: RequestInfo took d=0 for "no number of milliseconds". The error closes the connection once earlier commands are answered, and until then nothing more is read; what has come meanwhile is discarded after the shutdown of the router's side. Forced over sockets: a request in work, then d=0, then five commands. Before: the first answer, -ERR and the end; five lost. Change: PROTOCOL counts d in milliseconds from the sending, so 0 is a request whose time is over: the dispatcher rejects it as any other past its deadline (-BUSY, nothing was attempted), and the connection goes on. A test of its own holds what d=0 gets now: -BUSY, no attempt, and six answers around it.

--- a/holdgw/wire/resp.py
+++ b/holdgw/wire/resp.py
@@ -59,12 +59,12 @@
                 raise ValueError("expected a list of names and values, each once")
             fields[field] = value
         timeout = fields.get("d", "")
-        if not timeout.isdecimal() or len(timeout) > 9 or not int(timeout):
+        if not timeout.isdecimal() or len(timeout) > 9:
             raise ValueError("d must be a number of milliseconds")
         if not fields.get("c"):
             raise ValueError("c must name a class")
         self.timeout_ms = int(timeout)
-        """How long the client waits for the answer, milliseconds."""
+        """How long the client waits for the answer, milliseconds; 0 if its time was over as it sent this."""
         self.class_name: str = fields["c"]
         """The request class."""
         self.tenant: str | None = fields.get("t")
--- /dev/null
+++ b/tests/router/test_pipelines_at_a_close.py
@@ -0,0 +1,93 @@
+"""Requests that clients write behind an invalid command, or while their connection is about to close."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from tests.emulated_nodes import HIT, LIMIT_S, SERVED, Cache, LoopbackRouter, command, entry, read, run
+
+REJECTED = b"-BUSY\r\n"
+EXPIRED = command(b"KV.GET", b"k", b"expired", b"c=read,t=a,d=0")
+
+
+class HeldCache(Cache):
+    """A cache server that answers nothing until `release` is called."""
+
+    def __init__(self) -> None:
+        super().__init__(self._answer)
+        self._request_received, self._released = asyncio.Event(), asyncio.Event()
+
+    async def _answer(self, _: list[bytes]) -> bytes:
+        self._request_received.set()
+        await self._released.wait()
+        return HIT
+
+    async def request_received(self) -> None:
+        """Return once a request has arrived."""
+        await asyncio.wait_for(self._request_received.wait(), LIMIT_S)
+
+    def release(self) -> None:
+        """Answer all requests from now on."""
+        self._released.set()
+
+
+@asynccontextmanager
+async def held_cache_and_router() -> AsyncIterator[tuple[HeldCache, LoopbackRouter]]:
+    """Start a cache server that holds its answers back, and a router before it."""
+    cache, router = HeldCache(), LoopbackRouter()
+    await cache.start()
+    await router.start(entry("s1", cache.port))
+    try:
+        yield cache, router
+    finally:
+        router.stop()
+        cache.stop()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Return once the condition holds."""
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+async def write_into_kernel(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Return once all of the data is in the receiver's kernel: on loopback, as soon as it is sent."""
+    writer.write(data)
+    await until(lambda: writer.transport.get_write_buffer_size() == 0)
+
+
+async def read_to_end(reader: asyncio.StreamReader) -> bytes:
+    """Read everything up to the end of the connection."""
+    return await asyncio.wait_for(reader.read(), LIMIT_S)
+
+
+async def read_exactly(reader: asyncio.StreamReader, size: int) -> bytes:
+    """Read `size` bytes, or fewer up to the end of the connection."""
+    try:
+        return await asyncio.wait_for(reader.readexactly(size), LIMIT_S)
+    except asyncio.IncompleteReadError as error:
+        return error.partial
+
+
+def test_requests_written_behind_one_with_no_time_left_are_answered() -> None:
+    # Guards against a late client, whose command says d=0, losing the requests that it writes while the
+    # earlier ones are in work.
+    async def test() -> None:
+        async with held_cache_and_router() as (cache, router):
+            reader, writer = await router.dial()
+            writer.write(read("first"))
+            await cache.request_received()
+            writer.write(EXPIRED)
+            (connection,) = router.clients.connections
+            await until(lambda: len(connection.replies) == 2)
+            await write_into_kernel(writer, b"".join(read(f"behind{i}") for i in range(5)))
+            cache.release()
+            expected = SERVED + REJECTED + 5 * SERVED
+            assert await read_exactly(reader, len(expected)) == expected
+            assert all(words[2] != b"expired" for words in cache.seen)
+            writer.close()
+
+    run(test)
