An invalid command gets its error, and its connection goes on for the other requests

What callers saw: one command with wrong words (an unknown class, a missing k, a repeated id) ended the connection, and what was written behind it while earlier requests were in work got no answer. Cause: Reply.send_error_and_close served both kinds of fault. A command that is framed right doesn't spoil what follows; only malformed framing does. Change: an invalid command is answered in its turn and those behind it are served. Malformed input still ends its connection. Against noise: 16 invalid commands in a row close the connection (those read behind are rejected, one more invalid ends the answers); a connection whose latest command was invalid closes after 2.3 s without another, and is evicted first.

--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -10,6 +10,7 @@
 
 from holdgw.operation.process_link import MAX_PENDING_COMMAND_BYTES, ClientHandover
 from holdgw.router.connection_close import CloseCause, ConnectionEnd, LingeringClose
+from holdgw.router.error_answers import error_answer
 from holdgw.router.reply import MAX_UNSENT_BYTES, Reply
 from holdgw.wire.resp import Command, CommandReader, parse_request
 from holdgw.wire.unread import unread_ns
@@ -22,7 +23,12 @@
 WAITED_INPUT_WINDOW_S = 0.02
 """Only input that is read within this time after connecting can have waited for this process."""
 COMMAND_TIMEOUT_S = 2.3
-"""Timeout for a command to arrive completely, and for the first command; clients are promised 3 s."""
+"""Timeout for a command to arrive completely, for the first one, and for a valid one behind an invalid one.
+
+Clients are promised 3 s.
+"""
+MAX_INVALID_COMMANDS = 16
+"""Invalid commands in a row after which a connection is closed."""
 WRITE_STALL_TIMEOUT_S = 3.0
 """Timeout for a client to accept any bytes of the answers that wait for it."""
 STREAM_STALL_TIMEOUT_S = 8.0
@@ -39,8 +45,8 @@
     ready: bool
     """Whether there is an endpoint list, so that requests can be served."""
 
-    def request_arrived(self, command: Command, reply: Reply) -> None:
-        """Serve a request and send its answer through `reply`."""
+    def request_arrived(self, command: Command, reply: Reply) -> bool:
+        """Serve a request and send its answer through `reply`; returns whether the command is valid."""
 
     def reject(self, command: Command, reply: Reply) -> None:
         """Reject a request that is not served because its connection closes; it is in no table."""
@@ -81,8 +87,8 @@
         self._reading = True
         self._parsing = False
         self._closing_after_replies = False  # no more input is read; commands read before are answered
-        self._has_invalid_command = False  # an error is among the answers
-        self._drops_commands = False  # the commands behind a second invalid one are not answered
+        self._invalid_commands = 0  # in a row, up to the latest command
+        self._drops_commands = False  # further commands are not answered
         self._closing_when_idle = False
         self._handing_over = False  # further commands are left to the new process
         self._unsent_at_last_check = 0
@@ -189,9 +195,12 @@
         return not self.has_sent_command and self.listener.loop.time() - self._connected_at <= FIRST_COMMAND_S
 
     def is_silent(self, now_s: float) -> bool:
-        """Whether the client has sent no command within FIRST_COMMAND_S, and no answer waits to be sent."""
+        """Whether the client has sent no command, or an invalid one last, and no answer waits to be sent.
+
+        A client has FIRST_COMMAND_S for its next command before it counts as silent.
+        """
         return (
-            not self.has_sent_command
+            (not self.has_sent_command or self._invalid_commands > 0)
             and not self.replies
             and self.command_started_at <= now_s - FIRST_COMMAND_S
         )
@@ -240,14 +249,14 @@
     def _process_command(self, words: list[bytes]) -> None:
         reply = self._add_reply()
         handler = self.listener.handler
+        self.has_sent_command = True
         if len(words) == 1 and words[0].upper() == b"PING":
-            self.has_sent_command = True
             reply.send(b"+PONG\r\n" if handler.ready else b"-LOADING no list of servers yet\r\n")
             return
         try:
             command = parse_request(words)
         except ValueError as error:
-            reply.send_error_and_close(str(error))
+            reply.send_error(str(error))
             return
         if self.rejects_requests or self._closing_after_replies:
             # Commands behind this one may have been read with it. They are rejected too: a request that was
@@ -255,8 +264,8 @@
             self._close_after_replies(CloseCause.OVER_LIMIT)
             handler.reject(command, reply)
             return
-        self.has_sent_command = True
-        handler.request_arrived(command, reply)
+        if handler.request_arrived(command, reply):
+            self._invalid_commands = 0
 
     def flush(self) -> None:
         """Write the answers that are due in command order."""
@@ -301,18 +310,27 @@
     # Closing
 
     def fail_and_close(self, reply: Reply, message: str) -> None:
-        """Answer with an error, and close once the commands that were read are answered.
-
-        A second invalid command gets no error and ends the answers: a client that sends noise is owed one.
-        """
+        """Answer with an error, and close once the commands that were read are answered."""
         self._close_after_replies(CloseCause.INVALID_COMMAND)
         self._update_reading()
-        if self._has_invalid_command:
+        reply.send(error_answer(message))
+
+    def answer_invalid_command(self, reply: Reply, message: str) -> None:
+        """Answer a command that is framed right and not valid with an error; those behind it are served.
+
+        A client that sends nothing else would take processing time from others' requests. At
+        MAX_INVALID_COMMANDS in a row its connection is closed once the commands that were read are answered;
+        one more ends the answers.
+        """
+        if self._invalid_commands >= MAX_INVALID_COMMANDS:
             self._drops_commands = True
             self.replies.remove(reply)
             return
-        self._has_invalid_command = True
-        reply.send(b"-ERR %b\r\n" % message.encode())
+        self._invalid_commands += 1
+        if self._invalid_commands == MAX_INVALID_COMMANDS:
+            self._close_after_replies(CloseCause.INVALID_COMMAND)
+            self._update_reading()
+        reply.send(error_answer(message))
 
     def close_amid_answer(self) -> None:
         """Close after the written part of an answer that can't be completed.
@@ -436,6 +454,9 @@
             self._check_write_stall(now_s, unsent)
         elif self.replies or self._closing_after_replies:
             return
+        elif self._invalid_commands and not self._reader.has_partial_command:
+            if now_s - self.command_started_at > COMMAND_TIMEOUT_S:
+                self._start_lingering_close(CloseCause.INVALID_COMMAND)
         elif not self.has_sent_command or self._reader.has_partial_command:
             # A client that sends a partial command, a byte from time to time, or nothing would hold a
             # descriptor forever. A client that connects before it has a request must send the request within
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -193,24 +193,31 @@
 
     # Requests from client connections (RequestHandler)
 
-    def request_arrived(self, command: Command, reply: Reply) -> None:
-        """Open a request or answer it at once; each request gets exactly one final answer."""
+    def request_arrived(self, command: Command, reply: Reply) -> bool:
+        """Open a request or answer it at once; each request gets exactly one final answer.
+
+        Returns whether the command is valid.
+        """
         request_id = command.id.decode("ascii")
         now_ns = self.now_ns()
         unread_ns = self._unread_for_ns(reply, now_ns)
         deadline_ns = now_ns + command.info.timeout_ms * NS_PER_MS - unread_ns
         error_text = command_error(command, self._classes.get(command.info.class_name))
-        if error_text:
-            reply.send_error_and_close(error_text)
-        elif self.open_requests.knows(request_id) or (
-            self.shared_state is not None and not self.shared_state.claim(command.id)
-        ):
+        if not error_text and self._is_duplicate(command):
             # Two requests with one id would share attempts, and one would get the other's answer.
-            reply.send_error_and_close(DUPLICATE_ID)
+            error_text = DUPLICATE_ID
+        if error_text:
+            reply.send_error(error_text)
         elif self.open_requests.is_full() or deadline_ns <= now_ns:
             self._send_busy(command, reply)
         else:
             self._open(OpenRequest(request_id, command, reply, deadline_ns, now_ns - unread_ns), now_ns)
+        return not error_text
+
+    def _is_duplicate(self, command: Command) -> bool:
+        return self.open_requests.knows(command.id.decode("ascii")) or (
+            self.shared_state is not None and not self.shared_state.claim(command.id)
+        )
 
     def _unread_for_ns(self, reply: Reply, now_ns: int) -> int:
         """How long the command may have waited unread; this time counts towards its deadline."""
@@ -244,9 +251,9 @@
         """Reject a request whose connection closes, or answer it with an error if it is invalid."""
         error_text = command_error(command, self._classes.get(command.info.class_name))
         if error_text:
-            reply.send_error_and_close(error_text)
+            reply.send_error(error_text)
         elif self.open_requests.knows(command.id.decode("ascii")):
-            reply.send_error_and_close(DUPLICATE_ID)  # a rejection promises that no attempt was made
+            reply.send_error(DUPLICATE_ID)  # a rejection promises that no attempt was made
         else:
             self._send_busy(command, reply)
 
--- a/holdgw/router/error_answers.py
+++ b/holdgw/router/error_answers.py
@@ -1,4 +1,4 @@
-"""The RESP2 simple errors that answer a request without a value."""
+"""The RESP2 simple errors that answer a request without a value, or a command that is none."""
 
 from __future__ import annotations
 
@@ -13,3 +13,8 @@
     if retry_after_ns <= 0:
         return BUSY
     return b"-BUSY %d\r\n" % -(-retry_after_ns // NS_PER_MS)
+
+
+def error_answer(message: str) -> bytes:
+    """Encode an error for input that is no valid request; `message` is one line."""
+    return b"-ERR %b\r\n" % message.encode()
--- a/holdgw/router/reply.py
+++ b/holdgw/router/reply.py
@@ -167,10 +167,10 @@
             self.connection.listener.holding.pop(self.connection, None)
             self.send(error)
 
-    def send_error_and_close(self, message: str) -> None:
-        """Answer an invalid command with an error, and close once all earlier commands are answered.
+    def send_error(self, message: str) -> None:
+        """Answer an invalid command with an error; the commands behind it are served."""
+        self.connection.answer_invalid_command(self, message)
 
-        A client that keeps sending invalid commands would take processing time from others' requests. To
-        continue after its error, a client has to reconnect.
-        """
+    def send_error_and_close(self, message: str) -> None:
+        """Answer input that is no command with an error, and close once all earlier commands are answered."""
         self.connection.fail_and_close(self, message)
