A connection that closes after its last answers reads on and rejects what comes meanwhile

What callers saw: requests written to a connection whose earlier ones were in work got no answer where the router had decided to close it: 0.65 s after SIGTERM, above the limit of connections, behind a client's invalid commands. Cause: _close_after_replies stopped reading at once, up to seconds before the client could know. What came meanwhile was discarded after the shutdown of the router's side, though PROTOCOL counts it as taken from its last byte on. Looked at: each close of a client's connection. Closes after replies (invalid, over the limit, shutdown) and the close at the first idle moment after SIGTERM had the fault. Idle timeout, eviction and the timeout of a command concern a connection with nothing unanswered, where PROTOCOL has the client ask again; malformed input can't be read further; aborts and a value that breaks off leave nothing to be answered on. These stay as they are. Change: until the last command is answered the connection reads on and rejects (-BUSY, nothing attempted). As the last answer is written, poll(2) tells whether the kernel holds unread input; if so, that is read and answered first. Both up to 256 KiB a connection, so that a client that floods can't keep it open. The simulation's platform has the same question. The mutant fin-before-answers follows the changed line.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -445,8 +445,8 @@
     "fin-before-answers": Mutant(
         "a client's connection is closed while commands are unanswered",
         "holdgw.router.client_connection",
-        "        if not self.replies and (even_mid_command or not unfinished):",
-        "        if even_mid_command or not self._reader.has_partial_command:",
+        "        elif not self.replies and (even_mid_command or not unfinished):",
+        "        elif even_mid_command or not self._reader.has_partial_command:",
     ),
 }
 
--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -27,6 +27,8 @@
 
 Clients are promised 3 s.
 """
+MAX_INPUT_WHILE_CLOSING_BYTES = 256 << 10
+"""Input that is read while a connection is about to close; more stays in the kernel's buffers."""
 MAX_INVALID_COMMANDS = 16
 """Invalid commands in a row after which a connection is closed."""
 WRITE_STALL_TIMEOUT_S = 3.0
@@ -86,7 +88,8 @@
         self._reader = CommandReader()
         self._reading = True
         self._parsing = False
-        self._closing_after_replies = False  # no more input is read; commands read before are answered
+        self._closing_after_replies = False  # further commands are rejected
+        self._input_while_closing_bytes = 0
         self._invalid_commands = 0  # in a row, up to the latest command
         self._drops_commands = False  # further commands are not answered
         self._closing_when_idle = False
@@ -128,8 +131,10 @@
             self._lingering.discard(data)
             self._update_reading()
             return
-        if self._closing_after_replies or self.closed:
+        if self.closed:
             return
+        if self._closing_after_replies:
+            self._input_while_closing_bytes += len(data)
         self.last_active_at = self.listener.loop.time()
         if self.possible_wait_ns and self.last_active_at - self._connected_at > WAITED_INPUT_WINDOW_S:
             self.possible_wait_ns = 0
@@ -222,8 +227,15 @@
         finally:
             self._parsing = False
         self._update_reading()
-        if self._closing_after_replies and not self.replies:
-            self._start_lingering_close()
+        if self._closing_after_replies:
+            self._close_if_answered()
+
+    @property
+    def _accepts_commands(self) -> bool:
+        if self._closing_after_replies:
+            is_readable = not (self._drops_commands or self._reader.framing_error)
+            return is_readable and self._input_while_closing_bytes <= MAX_INPUT_WHILE_CLOSING_BYTES
+        return not self._handing_over
 
     @property
     def _may_parse(self) -> bool:
@@ -281,12 +293,11 @@
         if self.transport is None or self._parsing:
             return
         if self._closing_after_replies:
-            if not replies:
-                self._start_lingering_close()
+            self._close_if_answered()
             return
         if self._reader.has_partial_command or not self._reading:
             self._process_commands()  # commands past MAX_PIPELINE, which waited in the buffer
-        if self._closing_when_idle and self.is_idle:
+        if self._closing_when_idle and self.is_idle and not self.listener.has_unread_input(self.transport):
             self._start_lingering_close()
 
     def _update_reading(self) -> None:
@@ -294,10 +305,7 @@
             should_read = self._lingering.accepts_input
         else:  # check_disconnected finds a client that disconnects while reading is paused
             should_read = not (
-                self.write_blocked
-                or self._closing_after_replies
-                or self._handing_over
-                or len(self.replies) >= MAX_PIPELINE
+                self.write_blocked or not self._accepts_commands or len(self.replies) >= MAX_PIPELINE
             )
         if should_read == self._reading or self.transport is None or self.transport.is_closing():
             return
@@ -310,8 +318,9 @@
     # Closing
 
     def fail_and_close(self, reply: Reply, message: str) -> None:
-        """Answer with an error, and close once the commands that were read are answered."""
+        """Answer malformed input with an error, and close once the commands before it are answered."""
         self._close_after_replies(CloseCause.INVALID_COMMAND)
+        self._drops_commands = True
         self._update_reading()
         reply.send(error_answer(message))
 
@@ -349,11 +358,12 @@
             return
         self._closing_when_idle = True
         unfinished = self._reader.has_partial_command or self._awaits_first_command
-        if not self.replies and (even_mid_command or not unfinished):
+        if self._closing_after_replies:
+            self._close_if_answered()
+        elif not self.replies and (even_mid_command or not unfinished):
             self._start_lingering_close(cause)
         elif even_mid_command:
             # A client that always has an unanswered request would be served until SIGKILL, and lose one then.
-            # Commands that were read and wait for room in the pipeline are rejected.
             self._close_after_replies(cause)
             self._process_commands()
 
@@ -372,9 +382,23 @@
         self._on_disconnected(cause, unsent_bytes)
 
     def _close_after_replies(self, cause: CloseCause) -> None:
+        """Close once no command is unanswered.
+
+        The client doesn't know that yet and may go on writing: until then further commands are read and
+        rejected, as a request whose last byte reached this machine is lost if its connection ends without an
+        answer.
+        """
         self._closing_after_replies = True
         self._close_cause = self._close_cause or cause
 
+    def _close_if_answered(self) -> None:
+        if self.replies or self.transport is None or self.closed or self._lingering is not None:
+            return
+        if self._accepts_commands and self.listener.has_unread_input(self.transport):
+            self._update_reading()  # it was paused if the pipeline was full
+        else:
+            self._start_lingering_close()
+
     def hand_over(self, send: Callable[[ClientHandover, int], None], stop_reading: bool) -> bool:
         """Pass the connection to another process if no request is unanswered; returns whether it was passed.
 
--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -13,7 +13,7 @@
 from holdgw.operation.process_link import ClientHandover
 from holdgw.router.client_connection import ClientConnection, RequestHandler
 from holdgw.router.connection_close import CloseCause
-from holdgw.router.platform import accept_queued, peer_closed
+from holdgw.router.platform import accept_queued, has_unread_input, peer_closed
 from holdgw.router.reply import MAX_HELD_BYTES
 from holdgw.wire.address import Address
 
@@ -53,6 +53,7 @@
         handler: RequestHandler,
         limit: int,
         peer_closed: Callable[[Any], bool] = peer_closed,
+        has_unread_input: Callable[[Any], bool] = has_unread_input,
         max_unsent_bytes: int = DEFAULT_MAX_UNSENT_BYTES,
     ) -> None:
         """Create a listener that does not accept yet.
@@ -62,11 +63,13 @@
             handler: Serves the requests.
             limit: Connections that are served at a time.
             peer_closed: Whether the other side of a transport is closed, even if its end is unread.
+            has_unread_input: Whether the kernel holds bytes of a transport that are not read.
             max_unsent_bytes: Limit for the unsent answers of all clients together.
         """
         self.loop = loop
         self.handler = handler
         self.peer_closed = peer_closed
+        self.has_unread_input = has_unread_input
         self.duplicate_descriptor: Callable[[Any], int] = duplicate_descriptor
         """Duplicates a transport's descriptor for another process; the sender closes the duplicate."""
         self.lingering: dict[ClientConnection, None] = {}
--- a/holdgw/router/platform.py
+++ b/holdgw/router/platform.py
@@ -22,18 +22,29 @@
     return Path(path).read_bytes()
 
 
-def peer_closed(transport: Any) -> bool:
-    """Whether the other side has closed or reset a connection, even if unread bytes precede the close."""
+def _poll_events(transport: Any, events: int) -> int:
+    """The events of poll(2) that hold for a transport's socket now; 0 if it has none."""
     sock = transport.get_extra_info("socket")
     descriptor = sock.fileno() if sock is not None else -1
     if descriptor < 0:
-        return False
+        return 0
     poll = select.poll()
-    poll.register(descriptor, select.POLLRDHUP)
+    poll.register(descriptor, events)
     try:
-        return any(events & CLOSED_EVENTS for _, events in poll.poll(0))
+        return sum(found for _, found in poll.poll(0))
     except OSError:
-        return False
+        return 0
+
+
+def peer_closed(transport: Any) -> bool:
+    """Whether the other side has closed or reset a connection, even if unread bytes precede the close."""
+    return bool(_poll_events(transport, select.POLLRDHUP) & CLOSED_EVENTS)
+
+
+def has_unread_input(transport: Any) -> bool:
+    """Whether the kernel holds unread bytes of a connection, and no end of the input behind them."""
+    found = _poll_events(transport, select.POLLIN | select.POLLRDHUP)
+    return bool(found & select.POLLIN) and not found & CLOSED_EVENTS
 
 
 def accept_queued(listeners: Iterable[Any], max_count: int) -> list[int]:
@@ -76,3 +87,4 @@
     """Raises OSError."""
     cpu_s: Callable[[], float] = time.process_time
     peer_closed: Callable[[Any], bool] = peer_closed
+    has_unread_input: Callable[[Any], bool] = has_unread_input
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -101,6 +101,7 @@
             self.dispatcher,
             limits.clients,
             self.platform.peer_closed,
+            self.platform.has_unread_input,
             config.memory_bytes // UNSENT_MEMORY_DIVISOR,
         )
 
--- a/holdgw/simulation/cores.py
+++ b/holdgw/simulation/cores.py
@@ -25,7 +25,7 @@
 from holdgw.router.platform import Platform
 from holdgw.simulation.fleet_run import RouterMain, SimulatedRouter
 from holdgw.simulation.process import Process
-from holdgw.simulation.transports import Listener, TcpTransport, peer_closed
+from holdgw.simulation.transports import Listener, TcpTransport, has_unread_input, peer_closed
 from holdgw.simulation.world import NS_PER_MS, NS_PER_S
 
 WORKER_FAULT_INTERVAL_NS = (400 * NS_PER_MS, 2500 * NS_PER_MS)  # between faults of a router's workers
@@ -287,7 +287,12 @@
                 child.faults.append(str(error))
                 return 2
             platform = Platform(
-                child.monotonic_ns, child.unix_ns, environ, self.router.read, peer_closed=peer_closed
+                child.monotonic_ns,
+                child.unix_ns,
+                environ,
+                self.router.read,
+                peer_closed=peer_closed,
+                has_unread_input=has_unread_input,
             )
             host_system = _SimulatedWorkerHostSystem(child, self, worker_end)
             await Worker(config, WorkerParameters(index, workers, -1, -1), host_system, platform).run()
@@ -369,7 +374,12 @@
 
     async def main(router: SimulatedRouter, process: Process, environ: dict[str, str]) -> int:
         platform = Platform(
-            process.monotonic_ns, process.unix_ns, environ, router.read, peer_closed=peer_closed
+            process.monotonic_ns,
+            process.unix_ns,
+            environ,
+            router.read,
+            peer_closed=peer_closed,
+            has_unread_input=has_unread_input,
         )
         try:
             config = load_config(environ, read=router.read)
--- a/holdgw/simulation/fleet_run.py
+++ b/holdgw/simulation/fleet_run.py
@@ -46,7 +46,7 @@
 from holdgw.simulation.network import Connection, Cut, Host, LinkConditions, Network
 from holdgw.simulation.process import Process
 from holdgw.simulation.trace import Trace
-from holdgw.simulation.transports import TcpTransport, peer_closed
+from holdgw.simulation.transports import TcpTransport, has_unread_input, peer_closed
 from holdgw.simulation.world import NS_PER_S, SpinError, World
 from holdgw.wire.address import Address, format_address
 
@@ -367,7 +367,14 @@
 
 async def single_process_router(router: SimulatedRouter, process: Process, environ: dict[str, str]) -> int:
     """Run a router as `python -m holdgw.router` does, on the simulated process's clocks, files and loop."""
-    platform = Platform(process.monotonic_ns, process.unix_ns, environ, router.read, peer_closed=peer_closed)
+    platform = Platform(
+        process.monotonic_ns,
+        process.unix_ns,
+        environ,
+        router.read,
+        peer_closed=peer_closed,
+        has_unread_input=has_unread_input,
+    )
     try:
         config = load_config(environ, read=router.read)
     except ConfigError as error:
--- a/holdgw/simulation/transports.py
+++ b/holdgw/simulation/transports.py
@@ -37,6 +37,11 @@
     return isinstance(transport, TcpTransport) and transport.peer_closed
 
 
+def has_unread_input(transport: Any) -> bool:
+    """Whether received bytes are unread and no end follows them; replaces the call of `router.platform`."""
+    return isinstance(transport, TcpTransport) and transport.has_unread_input
+
+
 class Socket:
     """The subset of the socket interface that the programs under test use."""
 
@@ -297,6 +302,11 @@
         """Whether the other side has closed or reset the connection, as poll(2) reports it."""
         return self._fin_received or self._reset_received
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether received bytes are unread and no end follows them, as poll(2) reports it."""
+        return bool(self._received) and not self.peer_closed
+
     # The kernel's half: sending
 
     def _send(self, data: bytes) -> None:
--- a/tests/router/test_pipelines_at_a_close.py
+++ b/tests/router/test_pipelines_at_a_close.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import pytest
 
+from holdgw.router import client_connection
+from holdgw.router.reply import Reply
 from tests.emulated_nodes import HIT, LIMIT_S, SERVED, Cache, LoopbackRouter, command, entry, read, run
 
 REJECTED = b"-BUSY\r\n"
@@ -96,3 +99,92 @@
             writer.close()
 
     run(test)
+
+
+@pytest.mark.parametrize("cause", ["shutdown", "invalid commands"])
+def test_requests_written_before_a_close_whose_earlier_ones_are_in_work_are_rejected(cause: str) -> None:
+    # Guards against requests that come while a connection waits for its last answers being discarded: their
+    # client doesn't know yet that it will be closed.
+    async def test() -> None:
+        async with held_cache_and_router() as (cache, router):
+            reader, writer = await router.dial()
+            writer.write(read("first"))
+            await cache.request_received()
+            (connection,) = router.clients.connections
+            errors = 0
+            if cause == "shutdown":
+                router.clients.close_gracefully(even_mid_command=True)
+            else:
+                errors = client_connection.MAX_INVALID_COMMANDS
+                writer.write(INVALID * errors)
+                await until(lambda: len(connection.replies) == 1 + errors)
+            await write_into_kernel(writer, b"".join(read(f"behind{i}") for i in range(5)))
+            cache.release()
+            assert await read_to_end(reader) == SERVED + errors * ERROR + 5 * REJECTED
+            assert [words[2] for words in cache.seen] == [b"first"]
+            writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("cause", ["shutdown", "shutdown, between requests", "over the limit"])
+def test_requests_that_arrive_as_the_last_answer_is_written_are_answered(
+    cause: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against requests being discarded that reach the kernel in the turn of the event loop in which the
+    # router answers the earlier ones and closes.
+    send = Reply.send
+
+    async def test() -> None:
+        async with held_cache_and_router() as (cache, router):
+            reader, writer = await router.dial()
+            sock = writer.get_extra_info("socket")
+            late = b"".join(read(f"late{i}") for i in range(5))
+
+            def write_late_requests_and_send(reply: Reply, data: bytes) -> None:
+                monkeypatch.setattr(Reply, "send", send)
+                os.write(sock.fileno(), late)
+                send(reply, data)
+
+            if cause == "over the limit":
+                router.clients.connections[0].rejects_requests = True
+            monkeypatch.setattr(Reply, "send", write_late_requests_and_send)
+            writer.write(read("first"))
+            if cause != "over the limit":
+                await cache.request_received()
+                router.clients.close_gracefully(even_mid_command=cause == "shutdown")
+                cache.release()
+            first = REJECTED if cause == "over the limit" else SERVED
+            later = SERVED if cause == "shutdown, between requests" else REJECTED
+            assert await read_to_end(reader) == first + 5 * later
+            writer.close()
+
+    run(test)
+
+
+def test_a_client_that_floods_a_closing_connection_is_read_within_a_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A client that always has a request on the way would keep its connection for as long as it likes.
+    limit = 1 << 10
+    monkeypatch.setattr(client_connection, "MAX_INPUT_WHILE_CLOSING_BYTES", limit)
+
+    async def test() -> None:
+        async with held_cache_and_router() as (cache, router):
+            reader, writer = await router.dial()
+            writer.write(read("first"))
+            await cache.request_received()
+            (connection,) = router.clients.connections
+            router.clients.close_gracefully(even_mid_command=True)
+            request = read("flood")
+            for _ in range(limit // len(request) + 1):
+                await write_into_kernel(writer, request)
+            await until(lambda: not connection._reading)
+            rejected = len(connection.replies) - 1
+            assert rejected <= limit // len(request) + 1
+            await write_into_kernel(writer, request)
+            cache.release()
+            assert await read_to_end(reader) == SERVED + rejected * REJECTED
+            writer.close()
+
+    run(test)
