The soak splits pipelines behind invalid commands and draws several of them

Need: the soak wrote a pipeline with an invalid command at once and had one of them at most, as what came behind in a piece of its own was discarded. Change: such pipelines are split like the others, any number of commands may be invalid, and these are of an unknown class or have no time left (d=0). The check on them is the same: an error line each, and the others their answers.

--- a/bench/soak_clients.py
+++ b/bench/soak_clients.py
@@ -24,6 +24,7 @@
 PIECES_FRACTION = 0.2
 KEYS = 500
 CLASSES = (b"read", b"once")
+UNKNOWN_CLASS = b"nosuch"
 
 Address = tuple[str, int]
 
@@ -124,9 +125,7 @@
         """Send one pipeline and read its answers; raises what ends the connection."""
         loop = asyncio.get_running_loop()
         commands, ids = self._draw_pipeline()
-        # What comes in a piece of its own behind an invalid command crosses the close, unread.
-        may_split = self._records.invalid_ids.isdisjoint(ids)
-        await self._write(writer, b"".join(commands), may_split)
+        await self._write(writer, b"".join(commands))
         sent_s = loop.time()
         open_requests = [SentRequest(name, sent_s, sent_s + self._plan.deadline_s) for name in ids]
         self._records.counts["requests"] += len(open_requests)
@@ -157,8 +156,8 @@
             self._judge_end(target, open_requests, answered, type(error).__name__)
             raise
 
-    async def _write(self, writer: asyncio.StreamWriter, data: bytes, may_split: bool) -> None:
-        if self._random.random() < PIECES_FRACTION and may_split:
+    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if self._random.random() < PIECES_FRACTION:
             cut = self._random.randrange(len(data))
             writer.write(data[:cut])
             await asyncio.sleep(self._random.uniform(0, PAUSE_S))
@@ -166,24 +165,20 @@
         writer.write(data)
 
     def _draw_pipeline(self) -> tuple[list[bytes], list[str]]:
-        wait_ms = int(self._plan.deadline_s * 1000)
+        deadline_ms = int(self._plan.deadline_s * 1000)
         commands: list[bytes] = []
         ids: list[str] = []
         for _ in range(self._random.randint(1, self._plan.max_pipeline)):
             self._sent += 1
             request_id = f"{self._name}-{self._sent}"
-            class_name = self._random.choice(CLASSES)
+            class_name, wait_ms = self._random.choice(CLASSES), deadline_ms
             if class_name == b"once":
                 self._records.once_ids.add(request_id)
-            # One at most: a second invalid command ends the answers.
-            is_invalid = (
-                self._random.random() < self._plan.invalid_commands
-                and self._records.invalid_ids.isdisjoint(ids)
-            )
-            if is_invalid:
+            if self._random.random() < self._plan.invalid_commands:
                 self._records.invalid_ids.add(request_id)
+                class_name, wait_ms = self._random.choice(((UNKNOWN_CLASS, deadline_ms), (class_name, 0)))
             key = f"key{self._random.randrange(KEYS)}"
-            commands.append(encode_read(key, request_id, class_name, 0 if is_invalid else wait_ms))
+            commands.append(encode_read(key, request_id, class_name, wait_ms))
             ids.append(request_id)
         return commands, ids
 
--- a/bench/soak_plan.py
+++ b/bench/soak_plan.py
@@ -45,7 +45,7 @@
     drain_after_outage: bool
     """Whether discovery is down for a while, and a cache server drains at its return."""
     invalid_commands: float
-    """Fraction of the commands that are invalid; each ends its connection once those behind are answered."""
+    """Fraction of the commands that are invalid or have no time left; each gets an error in its turn."""
 
 
 def draw_plan(seed: int) -> SoakPlan:
