--- a/holdgw/simulation/cores.py
+++ b/holdgw/simulation/cores.py
@@ -22,10 +22,9 @@
 from holdgw.router.client_connection import ClientConnection
 from holdgw.router.client_listener import ClientListener
 from holdgw.router.config import Config, ConfigError, load_config
-from holdgw.router.platform import Platform
 from holdgw.simulation.fleet_run import RouterMain, SimulatedRouter
 from holdgw.simulation.process import Process
-from holdgw.simulation.transports import Listener, TcpTransport, has_unread_input, peer_closed
+from holdgw.simulation.transports import Listener, TcpTransport
 from holdgw.simulation.world import NS_PER_MS, NS_PER_S
 
 WORKER_FAULT_INTERVAL_NS = (400 * NS_PER_MS, 2500 * NS_PER_MS)  # between faults of a router's workers
@@ -286,14 +285,7 @@
             except ConfigError as error:
                 child.faults.append(str(error))
                 return 2
-            platform = Platform(
-                child.monotonic_ns,
-                child.unix_ns,
-                environ,
-                self.router.read,
-                peer_closed=peer_closed,
-                has_unread_input=has_unread_input,
-            )
+            platform = self.router.platform(child, environ)
             host_system = _SimulatedWorkerHostSystem(child, self, worker_end)
             await Worker(config, WorkerParameters(index, workers, -1, -1), host_system, platform).run()
             return 0
@@ -373,14 +365,7 @@
     """
 
     async def main(router: SimulatedRouter, process: Process, environ: dict[str, str]) -> int:
-        platform = Platform(
-            process.monotonic_ns,
-            process.unix_ns,
-            environ,
-            router.read,
-            peer_closed=peer_closed,
-            has_unread_input=has_unread_input,
-        )
+        platform = router.platform(process, environ)
         try:
             config = load_config(environ, read=router.read)
             host_system = SimulatedHostSystem(router, process, config)
--- a/holdgw/simulation/fleet_run.py
+++ b/holdgw/simulation/fleet_run.py
@@ -12,7 +12,7 @@
 import logging
 import random
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass, field, replace
 from functools import cached_property
 from typing import Any, cast
@@ -272,6 +272,17 @@
             raise FileNotFoundError(2, "No such file or directory")
         return self._files[path]
 
+    def platform(self, process: Process, environ: Mapping[str, str]) -> Platform:
+        """Return the system as a process of the router sees it."""
+        return Platform(
+            process.monotonic_ns,
+            process.unix_ns,
+            environ,
+            self.read,
+            peer_closed=peer_closed,
+            has_unread_input=has_unread_input,
+        )
+
     async def start(self, discovery: Address) -> None:
         """Start a process of the router."""
         # A killed process exits after some of its callbacks; one that runs very few may still be alive.
@@ -367,14 +378,7 @@
 
 async def single_process_router(router: SimulatedRouter, process: Process, environ: dict[str, str]) -> int:
     """Run a router as `python -m holdgw.router` does, on the simulated process's clocks, files and loop."""
-    platform = Platform(
-        process.monotonic_ns,
-        process.unix_ns,
-        environ,
-        router.read,
-        peer_closed=peer_closed,
-        has_unread_input=has_unread_input,
-    )
+    platform = router.platform(process, environ)
     try:
         config = load_config(environ, read=router.read)
     except ConfigError as error:
--- a/tests/emulated_nodes.py
+++ b/tests/emulated_nodes.py
@@ -37,6 +37,13 @@
     uvloop.run(asyncio.wait_for(test(), 3 * LIMIT_S))
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds that other tasks bring about."""
+    async with asyncio.timeout(LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.002)
+
+
 def unused_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> tuple[str, int]:
     """Return an address that a process under test can bind some time later.
 
--- a/tests/router/test_attempt_timeout.py
+++ b/tests/router/test_attempt_timeout.py
@@ -24,9 +24,10 @@
     command,
     entry,
     run,
+    until,
 )
 from tests.helpers import MS
-from tests.router.test_endings import GatedLoop, until, write_now
+from tests.router.test_endings import GatedLoop, write_now
 
 PAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue"
 WAIT_MS = 900
--- a/tests/router/test_endings.py
+++ b/tests/router/test_endings.py
@@ -59,6 +59,7 @@
     entry,
     read,
     run,
+    until,
 )
 from tests.helpers import S, settings
 from tests.router.test_sockets import config_of
@@ -68,13 +69,6 @@
 IDLE_S = 1.0  # idle timeout of clients in tests that read until the router closes the connection
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds that other tasks bring about."""
-    async with asyncio.timeout(LIMIT_S):
-        while not condition():
-            await asyncio.sleep(0.002)
-
-
 def request_ids(cache: Cache) -> list[str]:
     return [words[2].decode() for words in cache.seen]
 
--- a/tests/router/test_pipelines_at_a_close.py
+++ b/tests/router/test_pipelines_at_a_close.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import os
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import pytest
 
 from holdgw.router import client_connection
 from holdgw.router.reply import Reply
-from tests.emulated_nodes import HIT, LIMIT_S, SERVED, Cache, LoopbackRouter, command, entry, read, run
+from tests.emulated_nodes import HIT, LIMIT_S, SERVED, Cache, LoopbackRouter, command, entry, read, run, until
 
 REJECTED = b"-BUSY\r\n"
 EXPIRED = command(b"KV.GET", b"k", b"expired", b"c=read,t=a,d=0")
@@ -53,13 +53,6 @@
         cache.stop()
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Return once the condition holds."""
-    async with asyncio.timeout(LIMIT_S):
-        while not condition():
-            await asyncio.sleep(0.001)
-
-
 async def write_into_kernel(writer: asyncio.StreamWriter, data: bytes) -> None:
     """Return once all of the data is in the receiver's kernel: on loopback, as soon as it is sent."""
     writer.write(data)
