--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -23,7 +23,7 @@
 WAITED_INPUT_WINDOW_S = 0.02
 """Only input that is read within this time after connecting can have waited for this process."""
 COMMAND_TIMEOUT_S = 2.3
-"""Timeout for a command to arrive completely, for the first one, and for a valid one behind an invalid one.
+"""Timeout for a command to arrive completely, for the first one, and for the next one after an invalid one.
 
 Clients are promised 3 s.
 """
@@ -90,7 +90,7 @@
         self._parsing = False
         self._closing_after_replies = False  # further commands are rejected
         self._input_while_closing_bytes = 0
-        self._invalid_commands = 0  # in a row, up to the latest command
+        self._invalid_commands = 0  # since the latest valid request; PING doesn't count as one
         self._drops_commands = False  # further commands are not answered
         self._closing_when_idle = False
         self._handing_over = False  # further commands are left to the new process
@@ -200,7 +200,7 @@
         return not self.has_sent_command and self.listener.loop.time() - self._connected_at <= FIRST_COMMAND_S
 
     def is_silent(self, now_s: float) -> bool:
-        """Whether the client has sent no command, or an invalid one last, and no answer waits to be sent.
+        """Whether no answer waits, and the client has sent no command, or no request since an invalid one.
 
         A client has FIRST_COMMAND_S for its next command before it counts as silent.
         """
--- a/tests/router/test_sockets.py
+++ b/tests/router/test_sockets.py
@@ -331,13 +331,20 @@
 def test_invalid_commands_in_a_row_get_a_few_errors_and_a_close(count: int) -> None:
     # A client that sends nothing else would take processing time from others' requests.
     async def test() -> None:
-        router = LoopbackRouter()
-        await router.start()
+        async def answer(_: list[bytes]) -> bytes:
+            return HIT
+
+        cache, router = Cache(answer), LoopbackRouter()
+        await cache.start()
+        await router.start(entry("s1", cache.port))
         noise = command(b"KV.GET", b"k", b"id1", b"c=nosuch,t=a,d=900") * count
         answered = await router.ask(noise, 1 << 20)
         assert answered == client_connection.MAX_INVALID_COMMANDS * b"-ERR unknown class\r\n"
         assert client_connection.MAX_INVALID_COMMANDS <= 16
+        assert cache.seen == []
+        assert await router.ask(read("good"), len(SERVED)) == SERVED
         router.stop()
+        cache.stop()
 
     run(test)
 
