--- a/review/standins.py
+++ b/review/standins.py
@@ -595,6 +595,9 @@
     code = NOT_RUN
 
     async def play() -> int:
+        this_task = asyncio.current_task()
+        assert this_task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             world = World(Path(temporary), record)
             try:
@@ -609,7 +612,7 @@
 
     try:
         code = asyncio.run(play())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record("could not run", repr(error))
         traceback.print_exc()
     finally:
