A connection to an endpoint rests after an answer, so that a second answer meets no request

Cause, proved by a pool of one connection over sockets: ConnectionPool gave a connection to the next exchange at once after an answer, and what comes next is taken for that one's answer, as RESP2 and HTTP/1.1 answers carry no id. A second cause: the second answer may lie unread in the kernel while the process stands still; a rest by the clock alone would reuse the connection then. Change: a connection rests 25 ms after each answer and is closed by what comes meanwhile; before its next use poll(2) tells whether input is pending. Both answers have the same network delay, so what counts is how late the server gives the second. Resting connections count for no exchange; at 128 of an endpoint, and at the limit of descriptors, exchanges wait for a rest to end, never less.

--- a/bench/hot_path.py
+++ b/bench/hot_path.py
@@ -13,6 +13,7 @@
 import pstats
 import sys
 import time
+from itertools import count
 from statistics import median
 from typing import Any
 
@@ -23,10 +24,12 @@
 from holdgw.router.client_listener import ClientListener
 from holdgw.router.connection_pool import ConnectionPool
 from holdgw.router.dispatcher import Dispatcher
+from holdgw.router.idle_connections import REST_NS
 from holdgw.wire.resp import command
 
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000_000_000
+NO_IDLE_TIMEOUT_S = 1e6
 NODES = 36
 ORIGIN = "store"
 REQUESTS = 20_000
@@ -73,6 +76,9 @@
         """Return False."""
         return False
 
+    def get_extra_info(self, _name: str) -> None:
+        """Return None: there is no socket to ask for events."""
+
     def abort(self) -> None:
         """Do nothing."""
 
@@ -86,10 +92,10 @@
 PENDING: list[FakeTransport] = []
 
 
-def requests(count: int, keys: int) -> list[bytes]:
+def requests(number: int, keys: int) -> list[bytes]:
     """Return commands as clients send them, each with a new id."""
     commands = []
-    for i in range(count):
+    for i in range(number):
         key = b"pkg-%06d" % (i * 7919 % keys)
         info = b"c=fetch,t=%b,d=%d" % (b"public" if i % 3 else b"municipal", 700 + i % 200)
         commands.append(command(b"KV.GET", key, b"%08x-%d-0" % (i * 2654435761 % (1 << 32), i), info))
@@ -97,11 +103,17 @@
 
 
 async def run_rounds(
-    count: int, nodes_count: int, keys: int, profile: cProfile.Profile | None
+    rounds: int, nodes_count: int, keys: int, profile: cProfile.Profile | None
 ) -> list[float]:
     """Return the microseconds of CPU time per request, of each round."""
     loop = asyncio.get_running_loop()
-    pool = ConnectionPool(loop, nodes_count + 400, 0.12, 10.0)
+    pool = ConnectionPool(
+        loop,
+        nodes_count + 400,
+        0.12,
+        NO_IDLE_TIMEOUT_S,
+        now_ns=count(0, REST_NS).__next__,  # every connection has rested at its next use
+    )
     dispatcher = Dispatcher(loop, SETTINGS, 7, pool, 20_000)
     clients = ClientListener(loop, dispatcher, 400)
 
@@ -128,7 +140,7 @@
     transport = FakeTransport(client, False)
     client.connection_made(transport)  # type: ignore[arg-type]
     cpu_us = []
-    for round_number in range(count + 1):
+    for round_number in range(rounds + 1):
         commands = requests(REQUESTS, keys)
         commands = [request.replace(b"-0\r\n", b"-%d\r\n" % (round_number % 10)) for request in commands]
         before, written = time.process_time(), transport.written
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -155,10 +155,17 @@
         "        if request.leads_fetch and stored:\n            self._complete_fetch(request, stored)\n",
     ),
     "half-closed-reused": Mutant(
-        "the pool keeps a connection that its peer has half-closed",
+        "the pool keeps a connection that its peer has half-closed, and uses it",
         "holdgw.router.endpoint_connection",
         "    def pause_writing(self) -> None:\n",
         "    def eof_received(self) -> bool:\n        return True\n\n    def pause_writing(self) -> None:\n",
+        (
+            (
+                "holdgw.router.idle_connections",
+                "            elif not self._has_pending_input(connection.transport):\n",
+                "            else:\n",
+            ),
+        ),
     ),
     "given-up-kept": Mutant(
         "a connection whose exchange was abandoned is never closed",
@@ -182,8 +189,8 @@
     "descriptor-miscounted": Mutant(
         "a closed connection's descriptor still counts as open",
         "holdgw.router.connection_pool",
-        "        self._descriptors -= 1\n        if connection in endpoint.idle:",
-        "        if connection in endpoint.idle:",
+        "        self._descriptors -= 1\n        endpoint.idle.remove(connection)\n",
+        "        endpoint.idle.remove(connection)\n",
     ),
     "watch-kept": Mutant(
         "the watch of the address before a reload is never closed",
--- a/holdgw/native.py
+++ b/holdgw/native.py
@@ -64,6 +64,7 @@
     "router/exchange.py",
     "router/exchange_owner.py",
     "router/health_check.py",
+    "router/idle_connections.py",
     "router/open_request.py",
     "router/origin_connection.py",
     "router/origin_protocol.py",
--- a/holdgw/router/connection_pool.py
+++ b/holdgw/router/connection_pool.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from functools import partial
+from typing import Any
 
-from holdgw.policy import Outcome
+from holdgw.policy import NS_PER_S, Outcome
 from holdgw.router.dialing import DialTimeoutError, open_connection
 from holdgw.router.endpoint_connection import EndpointConnection
 from holdgw.router.endpoint_pool import EndpointPool
 from holdgw.router.exchange import Exchange
+from holdgw.router.platform import has_pending_input
 from holdgw.wire.address import Address
 
 MAX_CONNECTIONS_PER_ENDPOINT = 16
 """More than an endpoint works on at a time, so that the excess queues in the router."""
+MAX_RESTING_CONNECTIONS_PER_ENDPOINT = 128
+"""With so many connections resting after an answer, exchanges wait for one of them."""
 IDLE_TIMEOUT_FRACTION = 0.6
 """Fraction of the endpoint's idle timeout after which the router closes an idle connection.
 
@@ -26,6 +31,8 @@
 """Time for the answer of an abandoned exchange to arrive before its connection is closed."""
 CONNECTIONS_PER_LATE_ANSWER = 4
 """Of max_per_endpoint, 1 / CONNECTIONS_PER_LATE_ANSWER connections may wait for late answers."""
+TIMER_RESOLUTION_S = 0.001
+"""The event loop's timers may fire early by as much."""
 DEFAULT_MAX_RESERVED_BYTES = 8 << 20
 
 
@@ -67,6 +74,8 @@
         endpoint_idle_timeout_s: float,
         max_reserved_bytes: int = DEFAULT_MAX_RESERVED_BYTES,
         hedging: bool = False,
+        now_ns: Callable[[], int] = time.monotonic_ns,
+        has_pending_input: Callable[[Any], bool] = has_pending_input,
     ) -> None:
         """Create a pool without endpoints.
 
@@ -78,13 +87,17 @@
             max_reserved_bytes: Memory for long values that can't be streamed.
             hedging: Whether a request may be sent again while an earlier attempt is in flight on an open
                 connection.
+            now_ns: A monotonic clock in nanoseconds. The loop's clock stands still while callbacks run.
+            has_pending_input: Whether the kernel holds input of a transport that is not read, or its end.
         """
         self.max_per_endpoint = MAX_CONNECTIONS_PER_ENDPOINT
         self.counters = PoolCounters()
         self._loop = loop
         self._limit = limit
         self._dial_timeout_s = dial_timeout_s
-        self._idle_timeout_s = endpoint_idle_timeout_s * IDLE_TIMEOUT_FRACTION
+        self.idle_timeout_ns = int(endpoint_idle_timeout_s * IDLE_TIMEOUT_FRACTION * NS_PER_S)
+        self.has_pending_input = has_pending_input
+        self._now_ns = now_ns
         self._max_reserved_bytes = max_reserved_bytes
         self._reserved_bytes = 0
         self._hedging = hedging
@@ -135,9 +148,7 @@
             connection.close()
         for connection in endpoint.connections:
             connection.retired = True
-        idle = endpoint.idle
-        endpoint.idle = []
-        for connection in idle:
+        for connection in endpoint.idle.remove_all():
             connection.close()
         waiting = endpoint.waiting
         endpoint.waiting = deque()
@@ -159,23 +170,38 @@
         if (reason := exchange.cancellation_reason()) is not None:
             exchange.end(reason)
             return
-        min_idle_since = self._loop.time() - self._idle_timeout_s
-        while endpoint.idle:
-            connection = endpoint.idle.pop()
-            if connection.usable and connection.idle_since >= min_idle_since:
+        if not endpoint.waiting and endpoint.counted_connections < self.max_per_endpoint:
+            connection = endpoint.idle.take(self._now_ns())
+            if connection is not None:
                 connection.start(exchange)
                 return
-            connection.close()
         endpoint.waiting.append(exchange)
-        self._dial_for(endpoint)
+        self._serve_waiting(endpoint)
 
     def connection_released(self, connection: EndpointConnection) -> None:
-        """Reuse a connection whose answer is complete for a waiting exchange, or keep it idle."""
+        """Let a connection whose answer is complete rest; its exchange's place is free for a waiting one."""
         endpoint = connection.endpoint
         endpoint.streaming.pop(connection, None)
         if not connection.usable:
             connection.close()
             return
+        endpoint.idle.add_answered(connection, self._now_ns())
+        if endpoint.waiting:
+            self._serve_waiting(endpoint)
+        self._dial_deferred()
+
+    def _serve_waiting(self, endpoint: EndpointPool) -> None:
+        """Start waiting exchanges on connections that have rested, and dial for the others."""
+        while endpoint.waiting and endpoint.counted_connections < self.max_per_endpoint:
+            connection = endpoint.idle.take(self._now_ns())
+            if connection is None:
+                break
+            self._start_waiting(connection)
+        self._dial_for(endpoint)
+
+    def _start_waiting(self, connection: EndpointConnection) -> None:
+        """Start the exchange that waits longest on a connection; without one, the connection stays idle."""
+        endpoint = connection.endpoint
         while endpoint.waiting and connection.usable:
             exchange = endpoint.waiting.popleft()
             if exchange.ended:
@@ -185,12 +211,22 @@
                 continue
             connection.start(exchange)
             return
-        if not connection.usable:  # ending the exchanges above may have retired the connection
+        if connection.usable:  # ending the exchanges above may have retired it
+            endpoint.idle.add_unused(connection, self._now_ns())
+        else:
             connection.close()
-            return
-        connection.idle_since = self._loop.time()
-        endpoint.idle.append(connection)
-        self._dial_deferred()
+
+    def _await_rest(self, endpoint: EndpointPool) -> None:
+        """Serve the waiting exchanges again when the first of the resting connections may be used."""
+        if endpoint.waiting and endpoint.idle.resting_count and endpoint.rest_timer is None:
+            remaining_s = max(endpoint.idle.rest_ends_ns - self._now_ns(), 0) / NS_PER_S
+            endpoint.rest_timer = self._loop.call_later(
+                remaining_s + TIMER_RESOLUTION_S, self._rest_ended, endpoint
+            )
+
+    def _rest_ended(self, endpoint: EndpointPool) -> None:
+        endpoint.rest_timer = None
+        self._serve_waiting(endpoint)
 
     def connection_lost(self, connection: EndpointConnection) -> None:
         """Remove a closed connection; its descriptor is free."""
@@ -201,8 +237,7 @@
         endpoint.streaming.pop(connection, None)
         endpoint.awaiting_late_answer.pop(connection, None)
         self._descriptors -= 1
-        if connection in endpoint.idle:
-            endpoint.idle.remove(connection)
+        endpoint.idle.remove(connection)
         self._dial_for(endpoint)
         self._remove_if_unused(endpoint)
         self._dial_deferred()
@@ -287,10 +322,14 @@
             for endpoint in self._endpoints.values()
             for connection in endpoint.awaiting_late_answer
         ]
-        idle = [endpoint.idle[0] for endpoint in self._endpoints.values() if endpoint.idle]
+        idle = [
+            connection
+            for endpoint in self._endpoints.values()
+            if (connection := endpoint.idle.longest_idle()) is not None
+        ]
         if not (awaiting or idle):
             return False
-        evicted = awaiting[0] if awaiting else min(idle, key=lambda connection: connection.idle_since)
+        evicted = awaiting[0] if awaiting else min(idle, key=lambda connection: connection.idle_since_ns)
         endpoint = evicted.endpoint
         if awaiting:
             del endpoint.awaiting_late_answer[evicted]
@@ -305,20 +344,28 @@
     # Dials
 
     def _dial_for(self, endpoint: EndpointPool) -> None:
+        """Dial for the waiting exchanges, as far as the limits allow; others wait for a rest to end."""
         while endpoint.waiting and endpoint.waiting[0].ended:
             endpoint.waiting.popleft()
-        while (
-            len(endpoint.waiting) > len(endpoint.dials)
-            and endpoint.counted_connections < self.max_per_endpoint
-        ):
+        while self._may_dial(endpoint):
             # Without a limit, connections to endpoints would leave no descriptors for clients.
-            if self._descriptors >= self._limit and not self._evict():
-                self._awaiting_descriptor[endpoint] = None
-                return
+            if self._descriptors >= self._limit:
+                rests_suffice = endpoint.idle.resting_count >= len(endpoint.waiting)
+                if rests_suffice or not self._evict():
+                    self._awaiting_descriptor[endpoint] = None
+                    break
             self._descriptors += 1
             self.counters.dials += 1
             dial = self._loop.create_task(self._dial(endpoint))
             endpoint.dials[dial] = None
+        self._await_rest(endpoint)
+
+    def _may_dial(self, endpoint: EndpointPool) -> bool:
+        return (
+            len(endpoint.waiting) > len(endpoint.dials)
+            and endpoint.counted_connections < self.max_per_endpoint
+            and endpoint.idle.resting_count < MAX_RESTING_CONNECTIONS_PER_ENDPOINT
+        )
 
     def _dial_deferred(self) -> None:
         """Dial for the endpoints that could not dial at the limit of descriptors, the oldest first.
@@ -357,7 +404,8 @@
         endpoint.connections[connection] = None
         endpoint.idle_connections_closed = False
         connection.retired = not endpoint.available or endpoint.address != address
-        self.connection_released(connection)
+        self._start_waiting(connection)
+        self._dial_deferred()
 
     def _dial_failed(self, endpoint: EndpointPool) -> None:
         while endpoint.waiting:
@@ -378,9 +426,9 @@
         self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self._loop.time()
         for endpoint in list(self._endpoints.values()):
-            while endpoint.idle and endpoint.idle[0].idle_since < now - self._idle_timeout_s:
+            for connection in endpoint.idle.remove_expired(self._now_ns()):
                 self.counters.idle_timeouts += 1
-                endpoint.idle.pop(0).close()
+                connection.close()
             overdue = [
                 connection
                 for connection, since in endpoint.awaiting_late_answer.items()
@@ -394,6 +442,8 @@
         """Cancel all dials and close all connections."""
         self._sweep_timer.cancel()
         for endpoint in list(self._endpoints.values()):
+            if endpoint.rest_timer is not None:
+                endpoint.rest_timer.cancel()
             for dial in list(endpoint.dials):
                 dial.cancel()
             for connection in list(endpoint.connections):
--- a/holdgw/router/endpoint_connection.py
+++ b/holdgw/router/endpoint_connection.py
@@ -33,7 +33,7 @@
         self.endpoint = endpoint
         self.exchange: Exchange | None = None
         self.transport: asyncio.Transport | None = None
-        self.idle_since = 0.0  # seconds of the loop's clock
+        self.idle_since_ns = 0  # of the pool's clock
         self.write_pending = False  # the kernel has not accepted the last byte of the request yet
         self.retired = False  # no further exchange may start
         self.reading_paused = False
--- a/holdgw/router/endpoint_pool.py
+++ b/holdgw/router/endpoint_pool.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from holdgw.router.idle_connections import IdleConnections
 from holdgw.wire.address import Address
 
 if TYPE_CHECKING:
@@ -32,8 +33,10 @@
         self.connect = connect
         self.available = True
         """Whether the endpoint is listed and not draining."""
-        self.idle: list[EndpointConnection] = []
-        """Idle connections, the last used at the end and reused first, so that surplus ones time out."""
+        self.idle = IdleConnections(pool.idle_timeout_ns, pool.has_pending_input)
+        """The connections without an exchange."""
+        self.rest_timer: asyncio.TimerHandle | None = None
+        """Wakes the waiting exchanges when the first of the resting connections may be used."""
         self.connections: dict[EndpointConnection, None] = {}
         """All established connections."""
         self.dials: dict[asyncio.Task[None], None] = {}
@@ -53,9 +56,10 @@
 
     @property
     def counted_connections(self) -> int:
-        """Connections and dials that count towards the limit.
+        """Connections and dials that count towards the limit of exchanges at a time.
 
-        Streaming connections don't, as streaming to a slow client may take seconds, and neither do those that
-        await a late answer.
+        Idle connections don't. Neither do streaming ones, as streaming to a slow client may take seconds, nor
+        those that await a late answer.
         """
-        return self.descriptor_count - len(self.streaming) - len(self.awaiting_late_answer)
+        exempt = len(self.idle) + len(self.streaming) + len(self.awaiting_late_answer)
+        return self.descriptor_count - exempt
--- a/holdgw/router/platform.py
+++ b/holdgw/router/platform.py
@@ -47,6 +47,11 @@
     return bool(found & select.POLLIN) and not found & CLOSED_EVENTS
 
 
+def has_pending_input(transport: Any) -> bool:
+    """Whether a read from a connection would return something now: bytes, an end of the input or an error."""
+    return bool(_poll_events(transport, select.POLLIN))
+
+
 def accept_queued(listeners: Iterable[Any], max_count: int) -> list[int]:
     """Accept at most `max_count` connections queued at listeners; the caller owns the descriptors."""
     accepted: list[int] = []
@@ -88,3 +93,4 @@
     cpu_s: Callable[[], float] = time.process_time
     peer_closed: Callable[[Any], bool] = peer_closed
     has_unread_input: Callable[[Any], bool] = has_unread_input
+    has_pending_input: Callable[[Any], bool] = has_pending_input
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -87,6 +87,8 @@
             config.idle_timeout_ns / NS_PER_S,
             config.memory_bytes // BUFFERED_VALUE_MEMORY_DIVISOR,
             config.hedging_allowed,
+            self.platform.monotonic_ns,
+            self.platform.has_pending_input,
         )
         self.dispatcher = Dispatcher(
             self.loop,
--- a/holdgw/simulation/fleet_run.py
+++ b/holdgw/simulation/fleet_run.py
@@ -46,7 +46,7 @@
 from holdgw.simulation.network import Connection, Cut, Host, LinkConditions, Network
 from holdgw.simulation.process import Process
 from holdgw.simulation.trace import Trace
-from holdgw.simulation.transports import TcpTransport, has_unread_input, peer_closed
+from holdgw.simulation.transports import TcpTransport, has_pending_input, has_unread_input, peer_closed
 from holdgw.simulation.world import NS_PER_S, SpinError, World
 from holdgw.wire.address import Address, format_address
 
@@ -281,6 +281,7 @@
             self.read,
             peer_closed=peer_closed,
             has_unread_input=has_unread_input,
+            has_pending_input=has_pending_input,
         )
 
     async def start(self, discovery: Address) -> None:
--- a/holdgw/simulation/transports.py
+++ b/holdgw/simulation/transports.py
@@ -42,6 +42,11 @@
     return isinstance(transport, TcpTransport) and transport.has_unread_input
 
 
+def has_pending_input(transport: Any) -> bool:
+    """Whether a read would return bytes or an end of the input; replaces the call of `router.platform`."""
+    return isinstance(transport, TcpTransport) and transport.has_pending_input
+
+
 class Socket:
     """The subset of the socket interface that the programs under test use."""
 
@@ -307,6 +312,11 @@
         """Whether received bytes are unread and no end follows them, as poll(2) reports it."""
         return bool(self._received) and not self.peer_closed
 
+    @property
+    def has_pending_input(self) -> bool:
+        """Whether received bytes or an end of the input are unread, as poll(2) reports it."""
+        return bool(self._received) or self.peer_closed
+
     # The kernel's half: sending
 
     def _send(self, data: bytes) -> None:
--- a/tests/emulated_nodes.py
+++ b/tests/emulated_nodes.py
@@ -14,11 +14,12 @@
 import orjson
 import uvloop
 
-from holdgw.policy import Settings, UpdateKind
+from holdgw.policy import NS_PER_S, Settings, UpdateKind
 from holdgw.router.client_listener import ClientListener
 from holdgw.router.connection_pool import ConnectionPool
 from holdgw.router.dispatcher import Dispatcher
 from holdgw.router.endpoint_list import Clock, read_endpoint_list
+from holdgw.router.idle_connections import REST_NS
 from tests.helpers import settings
 
 LIMIT_S = 60.0  # a step that takes longer is hung, even on a machine with ten times more load than cores
@@ -199,6 +200,10 @@
         finally:
             writer.close()
 
+    async def connections_rested(self) -> None:
+        """Wait until every connection to an endpoint that has no exchange may be used again."""
+        await asyncio.sleep(2 * REST_NS / NS_PER_S)
+
     def stop(self) -> None:
         self.clients.close()
         self.dispatcher.close()
--- a/tests/router/test_attempt_timeout.py
+++ b/tests/router/test_attempt_timeout.py
@@ -186,6 +186,7 @@
         for connection in list(origin.idle):
             connection.close()
         await until(lambda: node.pool.tables()["connections"] == 1)
+        await node.connections_rested()
         setup.cache.seen.clear()
         setup.origin.infos.clear()
     node.pool._loop = cast(Any, loop)
--- a/tests/router/test_endings.py
+++ b/tests/router/test_endings.py
@@ -290,9 +290,11 @@
         await until(lambda: len(setup.cache.seen) == 2)
         setup.answers_released.set()
         assert await asyncio.gather(*first) == [SERVED, SERVED]
+        await node.connections_rested()
         # Only an endpoint of known latency is hedged.
         assert await node.ask(read("r3"), len(SERVED)) == SERVED
         assert node.pool.tables()["connections_idle"] == 2  # so the hedged request needs no new connection
+        await node.connections_rested()
         setup.answers_released.clear()
         _, writer = await node.dial()
         writer.write(read("gone"))
--- a/tests/router/test_sockets.py
+++ b/tests/router/test_sockets.py
@@ -205,6 +205,7 @@
 
     monkeypatch.setattr(RoutingPolicy, "handle", spy)
     monkeypatch.setattr(connection_pool, "MAX_CONNECTIONS_PER_ENDPOINT", 1)
+    monkeypatch.setattr(connection_pool, "MAX_RESTING_CONNECTIONS_PER_ENDPOINT", 1)
 
     async def test() -> None:
         request_received, answers_released = asyncio.Event(), asyncio.Event()
@@ -777,6 +778,7 @@
         setup.released[0].set()
         await until_idle(router)
         assert router.pool.counters.late_answers == 1
+        await router.connections_rested()
         second_read = asyncio.create_task(
             with_trusted_endpoint(router).ask(read("r2", "other", 60_000), len(SERVED))
         )
