What clients send at once is bounded in bytes; what does not fit is rejected as it comes

Cause: input of clients was bounded in commands (256 a connection, maxOpen in all), never in bytes. Change: RequestMemory, an eighth of memory_mb, counts open requests and input that is no whole command yet. What does not fit is rejected with -BUSY in its turn; the value of a command that is still arriving is dropped as it comes. Reading less would not do: a request whose last byte has come is owed its answer in time. A reply that waits for others no longer keeps its request's value.

--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -12,6 +12,7 @@
 from holdgw.router.connection_close import CloseCause, ConnectionEnd, LingeringClose
 from holdgw.router.error_answers import error_answer
 from holdgw.router.reply import MAX_UNSENT_BYTES, Reply
+from holdgw.router.request_memory import RequestMemory
 from holdgw.wire.resp import Command, CommandReader, parse_request
 from holdgw.wire.unread import unread_ns
 
@@ -46,12 +47,14 @@
 
     ready: bool
     """Whether there is an endpoint list, so that requests can be served."""
+    request_memory: RequestMemory
+    """Bounds the memory of clients' requests."""
 
     def request_arrived(self, command: Command, reply: Reply) -> bool:
         """Serve a request and send its answer through `reply`; returns whether the command is valid."""
 
     def reject(self, command: Command, reply: Reply) -> None:
-        """Reject a request that is not served because its connection closes; it is in no table."""
+        """Reject a request that is in no table: its connection closes, or there is no memory for it."""
 
     def client_disconnected(self, reply: Reply) -> None:
         """Note that the client that waits for this reply has disconnected."""
@@ -86,6 +89,8 @@
         self._handover = handover
         self._connected_at = 0.0
         self._reader = CommandReader()
+        self._held_input_bytes = 0  # of the input in `_reader`, counted in the memory of requests
+        self._rejects_buffered = False  # there is no memory for the commands past MAX_PIPELINE
         self._reading = True
         self._parsing = False
         self._closing_after_replies = False  # further commands are rejected
@@ -226,10 +231,36 @@
             self.abort(CloseCause.FAULT)
         finally:
             self._parsing = False
+        self._hold_input()
         self._update_reading()
         if self._closing_after_replies:
             self._close_if_answered()
 
+    def _hold_input(self) -> None:
+        """Count the input that is no whole command yet, or waits past MAX_PIPELINE, as memory of requests.
+
+        Without memory for it, buffered commands are rejected at once, and so is the one that is arriving as
+        soon as it is complete: the client is owed an answer, so its bytes have to be read.
+        """
+        if self.closed:
+            return
+        memory = self.listener.handler.request_memory
+        if memory.resize_input(self._held_input_bytes, self._reader.buffered_count):
+            self._held_input_bytes = self._reader.buffered_count
+            return
+        if len(self.replies) >= MAX_PIPELINE and not self._handing_over:
+            self._reject_buffered()
+        self._reader.drop_partial_value()
+        memory.hold_input(self._held_input_bytes, self._reader.buffered_count)
+        self._held_input_bytes = self._reader.buffered_count
+
+    def _reject_buffered(self) -> None:
+        self._rejects_buffered = self._parsing = True
+        try:
+            self._parse_commands()
+        finally:
+            self._rejects_buffered = self._parsing = False
+
     @property
     def _accepts_commands(self) -> bool:
         if self._closing_after_replies:
@@ -241,7 +272,7 @@
     def _may_parse(self) -> bool:
         if self._closing_after_replies:
             return not self._drops_commands
-        return not self._handing_over and len(self.replies) < MAX_PIPELINE
+        return not self._handing_over and (len(self.replies) < MAX_PIPELINE or self._rejects_buffered)
 
     def _parse_commands(self) -> None:
         while self._may_parse:
@@ -250,6 +281,8 @@
                 break
             self.command_started_at = self.last_active_at
             self._process_command(words)
+            if self._rejects_buffered:
+                self._merge_last_answers()
         if self._reader.framing_error and not self._closing_after_replies:
             self._add_reply().send_error_and_close(f"Protocol error: {self._reader.framing_error}")
 
@@ -276,9 +309,21 @@
             self._close_after_replies(CloseCause.OVER_LIMIT)
             handler.reject(command, reply)
             return
-        if handler.request_arrived(command, reply):
+        if self._reader.value_dropped or self._rejects_buffered:
+            handler.reject(command, reply)
+        elif handler.request_arrived(command, reply):
             self._invalid_commands = 0
 
+    def _merge_last_answers(self) -> None:
+        """Join the last answer to the one before it: a reply for each would take more than the commands."""
+        replies = self.replies
+        if len(replies) <= MAX_PIPELINE:
+            return
+        last_answer, previous_answer = replies[-1].answer, replies[-2].answer
+        if last_answer is not None and previous_answer is not None:
+            replies[-2].answer = previous_answer + last_answer
+            replies.pop()
+
     def flush(self) -> None:
         """Write the answers that are due in command order."""
         replies = self.replies
@@ -415,7 +460,7 @@
         if self.replies or self.write_blocked or transport.is_closing() or transport.get_write_buffer_size():
             return False
         pending_bytes = self._reader.buffered
-        if len(pending_bytes) > MAX_PENDING_COMMAND_BYTES:
+        if len(pending_bytes) > MAX_PENDING_COMMAND_BYTES or self._reader.is_dropping_value:
             return False
         # Input that this process reads between the duplication and the close would be lost. None is read, as
         # both happen in one iteration of the event loop; the duplicate keeps the socket open.
@@ -456,6 +501,8 @@
             discarded_bytes,
         ).log()
         self.listener.connection_closed(self)
+        self.listener.handler.request_memory.resize_input(self._held_input_bytes, 0)
+        self._held_input_bytes = 0
         replies = self.replies
         self.replies = deque()
         for reply in replies:
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -48,6 +48,7 @@
 from holdgw.router.open_request import OpenRequest, OpenRequestTable
 from holdgw.router.origin_connection import OriginConnection
 from holdgw.router.reply import Reply
+from holdgw.router.request_memory import DEFAULT_MAX_REQUEST_BYTES, RequestMemory
 from holdgw.router.timer_wheel import TimerWheel
 from holdgw.wire import resp
 from holdgw.wire.resp import Command
@@ -86,6 +87,12 @@
     return ""
 
 
+def log_disabled_features(reasons: dict[str, str]) -> None:
+    """Write which features the settings switch off, with the reason of each, if there are any."""
+    if reasons:
+        log.warning("settings: off are %s", "; ".join(f"{name} ({why})" for name, why in reasons.items()))
+
+
 class Dispatcher(ExchangeOwner):
     """Owns the open requests, the routing policy and its timers, and starts exchanges with endpoints."""
 
@@ -97,11 +104,18 @@
         pool: ConnectionPool,
         max_open: int,
         now_ns: Callable[[], int] = time.monotonic_ns,
+        max_request_bytes: int = DEFAULT_MAX_REQUEST_BYTES,
     ) -> None:
-        """`max_open`: the most requests open at a time; `now_ns`: a monotonic clock in nanoseconds."""
+        """Create a dispatcher without requests and endpoints.
+
+        `max_open` and `max_request_bytes` bound the number and the memory of requests open at a time;
+        `now_ns` is a monotonic clock in nanoseconds.
+        """
         disabled_reasons = disabled_features(settings)
         metrics = Metrics((request_class.name for request_class in settings.classes), disabled_reasons)
-        super().__init__(settings, now_ns, TimerWheel(loop, now_ns), metrics, OpenRequestTable(max_open))
+        self.request_memory = RequestMemory(max_request_bytes)
+        open_requests = OpenRequestTable(max_open, self.request_memory)
+        super().__init__(settings, now_ns, TimerWheel(loop, now_ns), metrics, open_requests)
         self.loop = loop
         self.ready = False
         """Whether there is an endpoint list; until then a client's PING is answered with an error."""
@@ -120,9 +134,7 @@
         self._lag_monitor = LagMonitor(int(SWEEP_INTERVAL_S * NS_PER_S), now_ns())
         self._overdue_check: asyncio.Handle | None = None
         self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
-        if disabled_reasons:
-            features = "; ".join(f"{feature} ({reason})" for feature, reason in disabled_reasons.items())
-            log.warning("settings: off are %s", features)
+        log_disabled_features(disabled_reasons)
 
     def close(self) -> None:
         """Stop the sweep and all timers."""
@@ -138,6 +150,7 @@
         overdue = self.open_requests.past_deadline(self.now_ns() - OVERDUE_NS)
         return {
             "requests": len(self.open_requests.by_id),
+            "request_bytes": self.request_memory.held_bytes,
             "requests_unanswered_late": sum(not request.answered for request in overdue),
             "requests_out_late": sum(request.attempts_in_flight > 0 for request in overdue),
             "recent": self.open_requests.recent_count,
@@ -208,7 +221,7 @@
             error_text = DUPLICATE_ID
         if error_text:
             reply.send_error(error_text)
-        elif self.open_requests.is_full() or deadline_ns <= now_ns:
+        elif deadline_ns <= now_ns or not self.open_requests.reserve(command):
             self._send_busy(command, reply)
         else:
             self._open(OpenRequest(request_id, command, reply, deadline_ns, now_ns - unread_ns), now_ns)
@@ -231,7 +244,7 @@
     def _open(self, request: OpenRequest, now_ns: int) -> None:
         info = request.command.info
         request.reply.request = request
-        self.open_requests.by_id[request.id] = request
+        self.open_requests.add(request)
         if self.interval_counters is not None:
             has_tight_deadline = request.deadline_ns - now_ns < self.latency_objective_ns(request.class_name)
             self.interval_counters.count_client_request(info.is_retry, has_tight_deadline)
@@ -248,7 +261,7 @@
         )
 
     def reject(self, command: Command, reply: Reply) -> None:
-        """Reject a request whose connection closes, or answer it with an error if it is invalid."""
+        """Reject a request that can't be served, or answer it with an error if it is invalid."""
         error_text = command_error(command, self._classes.get(command.info.class_name))
         if error_text:
             reply.send_error(error_text)
--- a/holdgw/router/open_request.py
+++ b/holdgw/router/open_request.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from holdgw.router.reply import Reply
+from holdgw.router.request_memory import RequestMemory
 from holdgw.wire.resp import Command
 from holdgw.wire.unread import NS_PER_MS
 
@@ -59,15 +60,20 @@
 class OpenRequestTable:
     """The open requests by id, and the ids of the last MAX_RECENT_IDS released requests."""
 
-    def __init__(self, max_open: int) -> None:
-        """Create an empty table that is full at `max_open` open requests."""
+    def __init__(self, max_open: int, memory: RequestMemory) -> None:
+        """Create an empty table that is full at `max_open` open requests; `memory` bounds their bytes."""
         self.by_id: dict[str, OpenRequest] = {}
         self._max_open = max_open
+        self._memory = memory
         self._recent_ids: dict[str, None] = {}  # in the order of their release
 
-    def is_full(self) -> bool:
-        """Whether no further request may be opened."""
-        return len(self.by_id) >= self._max_open
+    def reserve(self, command: Command) -> bool:
+        """Reserve the memory of a request that is about to be added; returns whether the table has room."""
+        return len(self.by_id) < self._max_open and self._memory.reserve_command(command)
+
+    def add(self, request: OpenRequest) -> None:
+        """Add a request whose memory is reserved."""
+        self.by_id[request.id] = request
 
     def knows(self, request_id: str) -> bool:
         """Whether a request with this id is open, or was released recently."""
@@ -77,6 +83,7 @@
         """Release a request that is answered and has no attempt in flight; others stay open."""
         if request.answered and not request.attempts_in_flight and request.id in self.by_id:
             del self.by_id[request.id]
+            self._memory.release_command(request.command)
             self._recent_ids[request.id] = None
             if len(self._recent_ids) > MAX_RECENT_IDS:
                 del self._recent_ids[next(iter(self._recent_ids))]
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -39,6 +39,8 @@
 """Time to wait for discovery's first list; after it the router serves by the one in the configuration."""
 BUFFERED_VALUE_MEMORY_DIVISOR = 8
 """The memory limit divided by this is the most that long values take which can't be streamed."""
+REQUEST_MEMORY_DIVISOR = 8
+"""The memory limit divided by this is the most that clients' requests take."""
 UNSENT_MEMORY_DIVISOR = 8
 """The memory limit divided by this is the most that answers take which clients have not read."""
 
@@ -97,6 +99,7 @@
             self.pool,
             config.max_open_requests,
             self.platform.monotonic_ns,
+            config.memory_bytes // REQUEST_MEMORY_DIVISOR,
         )
         self.clients = ClientListener(
             self.loop,
--- a/holdgw/router/reply.py
+++ b/holdgw/router/reply.py
@@ -125,6 +125,9 @@
     def send(self, data: bytes) -> None:
         """Send the whole answer, encoded."""
         self.answer = data
+        self.request = (
+            None  # the answer may have to wait for others, longer than the request's memory is held
+        )
         self.connection.flush()
 
     def start_stream(self, head: bytes, source: StreamSource, max_hold_s: float) -> None:
--- a/holdgw/simulation/invariants.py
+++ b/holdgw/simulation/invariants.py
@@ -31,6 +31,7 @@
     "streams",
     "bytes_held",
     "requests",
+    "request_bytes",
     "events",
     "policy_requests",
     "policy_coalesced_fetches",
--- a/holdgw/wire/resp.py
+++ b/holdgw/wire/resp.py
@@ -44,6 +44,7 @@
         "class_name",
         "has_idempotency_key",
         "is_retry",
+        "size_bytes",
         "tenant",
         "timeout_ms",
     )
@@ -72,6 +73,8 @@
         self.has_idempotency_key: bool = "k" in fields
         start = (b"," + text).index(b",d=") + len(b"d=")
         self._prefix, self._suffix = text[:start], text[start + len(timeout) :]  # around the value of `d`
+        self.size_bytes = len(text)
+        """The length of the list."""
 
     def with_timeout(self, timeout_ms: int) -> bytes:
         """The client's list with the value of `d` replaced by `timeout_ms` milliseconds (1 or more)."""
@@ -93,6 +96,16 @@
     ) -> None:
         self.name, self.key, self.id, self.info, self.value = name, key, request_id, info, value
 
+    @property
+    def size_bytes(self) -> int:
+        """The bytes of the words that change from command to command."""
+        return len(self.key) + len(self.id) + self.info.size_bytes + (len(self.value) if self.value else 0)
+
+    def drop_value(self) -> None:
+        """Free the memory of the value; the command can't be sent any more, and `size_bytes` is smaller."""
+        if self.value is not None:
+            self.value = b""
+
     def encode_with_timeout(self, timeout_ms: int) -> bytes:
         """The command for a cache server, with `d` of `timeout_ms` milliseconds (1 or more)."""
         info = self.info.with_timeout(timeout_ms)
@@ -103,6 +116,20 @@
         return _SET_FORMAT % (*words, len(self.value), self.value)
 
 
+class _PartialValue:
+    """The value of a command of which it is the last word, while it arrives."""
+
+    __slots__ = ("bytes_left", "start", "words")
+
+    def __init__(self, words: list[bytes], start: int, size: int) -> None:
+        self.words = words
+        """The words before the value."""
+        self.start = start
+        """The value's offset in the command."""
+        self.bytes_left = size
+        """While the value is dropped: its bytes that have not arrived."""
+
+
 class CommandReader:
     """Splits a client's bytes into commands, each a list of its words, and buffers a partial command."""
 
@@ -110,11 +137,19 @@
         self._buffer = bytearray()
         self._start = 0  # offset of the current command in the buffer
         self._min_bytes = 1  # known minimum length of the current command
+        self._partial_value: _PartialValue | None = None
+        self._dropped_value: _PartialValue | None = None
+        self.value_dropped = False
+        """Whether the last command that was returned came without its value, an empty word in its place."""
         self.framing_error = ""
         """Why the input can't be parsed any further; empty while it can."""
 
     def feed(self, data: bytes) -> None:
         """Append received bytes to the buffer; after a framing error they are dropped."""
+        if self._dropped_value is not None:
+            dropped_bytes = min(len(data), self._dropped_value.bytes_left)
+            self._dropped_value.bytes_left -= dropped_bytes
+            data = data[dropped_bytes:]
         if not self.framing_error:
             self._buffer += data
 
@@ -130,13 +165,36 @@
 
     @property
     def has_partial_command(self) -> bool:
-        """Whether bytes of a command are buffered."""
-        return len(self._buffer) > self._start
+        """Whether a command has arrived in part, or is buffered."""
+        return len(self._buffer) > self._start or self._dropped_value is not None
+
+    @property
+    def is_dropping_value(self) -> bool:
+        """Whether the command that is arriving will be returned without its value."""
+        return self._dropped_value is not None
+
+    def drop_partial_value(self) -> bool:
+        """Drop the value of a command that has arrived in part, as it arrives; call it after `next_command`.
+
+        Returns whether there is such a value. The command itself is returned once its last byte has come.
+        """
+        partial = self._partial_value
+        if partial is None:
+            return False
+        value_end = min(len(self._buffer), partial.start + partial.bytes_left)
+        partial.bytes_left -= value_end - partial.start
+        del self._buffer[:value_end]
+        self._partial_value = None
+        self._dropped_value = partial
+        return True
 
     def next_command(self) -> list[bytes] | None:
         """The next complete command; None where there is none yet, or `framing_error` is set."""
         if self.framing_error:
             return None
+        self.value_dropped = False
+        if self._dropped_value is not None:
+            return self._end_dropped_value(self._dropped_value)
         words = None
         # A partial command is parsed again only once its known minimum length has arrived. Parsing it at each
         # byte would take time quadratic in its length.
@@ -144,23 +202,37 @@
             try:
                 words = self._parse_command()
             except FramingError as error:
-                self.framing_error = str(error)
-                self._buffer.clear()
-                self._start = 0
+                self._fail(error)
         if words is None and self._start:
             del self._buffer[: self._start]
             self._start = 0
         return words
 
+    def _fail(self, error: FramingError) -> None:
+        self.framing_error = str(error)
+        self._buffer.clear()
+        self._start = 0
+        self._partial_value = None
+        self._dropped_value = None
+
+    def _end_dropped_value(self, dropped: _PartialValue) -> list[bytes] | None:
+        """The command whose value was dropped; None while its end is missing, or is wrong."""
+        if dropped.bytes_left or len(self._buffer) < len(b"\r\n"):
+            return None
+        if not self._buffer.startswith(b"\r\n"):
+            self._fail(FramingError("bulk string without its end"))
+            return None
+        self._start, self._min_bytes = len(b"\r\n"), 1
+        self._dropped_value = None
+        self.value_dropped = True
+        return [*dropped.words, b""]
+
     def _parse_command(self) -> list[bytes] | None:
         data, begin = self._buffer, self._start
-        common = _COMMON_GET.match(data, begin)
+        self._partial_value = None
+        common = self._parse_common_get(data, begin)
         if common is not None:
-            key, request_id, info = common[2], common[4], common[6]
-            lengths = int(common[1]), int(common[3]), int(common[5])
-            if lengths == (len(key), len(request_id), len(info)) and max(lengths) <= MAX_ARGUMENT_BYTES:
-                self._start, self._min_bytes = common.end(), 1
-                return [b"KV.GET", key, request_id, info]
+            return common
         count, position = self._parse_length_line(data, begin, b"*")
         if position and not 1 <= count <= MAX_ARGUMENTS:
             raise FramingError("invalid multibulk length")
@@ -177,6 +249,8 @@
                 raise FramingError("invalid bulk length")
             if len(data) < position:
                 self._min_bytes = position - begin
+                if len(words) == MAX_ARGUMENTS - 1:
+                    self._partial_value = _PartialValue(words, start - begin, size)
                 return None
             if data[position - 2 : position] != b"\r\n":
                 raise FramingError("bulk string without its end")
@@ -187,6 +261,17 @@
         self._start, self._min_bytes = position, 1
         return words
 
+    def _parse_common_get(self, data: bytearray, begin: int) -> list[bytes] | None:
+        common = _COMMON_GET.match(data, begin)
+        if common is None:
+            return None
+        key, request_id, info = common[2], common[4], common[6]
+        lengths = int(common[1]), int(common[3]), int(common[5])
+        if lengths != (len(key), len(request_id), len(info)) or max(lengths) > MAX_ARGUMENT_BYTES:
+            return None
+        self._start, self._min_bytes = common.end(), 1
+        return [b"KV.GET", key, request_id, info]
+
     def _parse_length_line(self, data: bytearray, begin: int, mark: bytes) -> tuple[int, int]:
         """Parse a length line; returns its number and the offset behind it, (0, 0) if it is incomplete."""
         end = data.find(b"\r\n", begin, begin + MAX_LENGTH_LINE_BYTES)
--- a/tests/emulated_nodes.py
+++ b/tests/emulated_nodes.py
@@ -20,6 +20,7 @@
 from holdgw.router.dispatcher import Dispatcher
 from holdgw.router.endpoint_list import Clock, read_endpoint_list
 from holdgw.router.idle_connections import REST_NS
+from holdgw.router.request_memory import DEFAULT_MAX_REQUEST_BYTES
 from tests.helpers import settings
 
 LIMIT_S = 60.0  # a step that takes longer is hung, even on a machine with ten times more load than cores
@@ -173,10 +174,11 @@
         config: Settings | None = None,
         hedging: bool = False,
         now: Callable[[], int] = time.monotonic_ns,
+        max_request_bytes: int = DEFAULT_MAX_REQUEST_BYTES,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.pool = ConnectionPool(loop, 64, 5.0, 10.0, hedging=hedging)
-        self.dispatcher = Dispatcher(loop, config or settings(), 7, self.pool, 1000, now)
+        self.dispatcher = Dispatcher(loop, config or settings(), 7, self.pool, 1000, now, max_request_bytes)
         self.dispatcher.ready = True
         self.clients = ClientListener(loop, self.dispatcher, limit)
         self.address = ("", 0)
