A long value that has stopped arriving stays held back, and becomes an error at its deadline

Cause, proved over sockets: every hold ended after 0.5 s or half of the time left, and the head was written whether or not the value still arrived; then only a close can end it. Second cause: held values were counted as 512 KiB each, so beyond 24 of any length (at 192 MB) heads were written at once. Change: a value that fits in the hold is held until it is whole or nine tenths of its time are over; one that has stopped (no part for 0.25 s) stays held until its deadline and is an error then; a value whose turn comes late has 0.25 s for its rest; the memory for holds counts bytes. The test that had a stopped value written after half of its client's time asked for this fault; in its place a value that goes on arriving may be held for nine tenths of that time (half if it does not fit), and one that stopped has to become an error.

--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -13,8 +13,8 @@
 from holdgw.operation.process_link import ClientHandover
 from holdgw.router.client_connection import ClientConnection, RequestHandler
 from holdgw.router.connection_close import CloseCause
+from holdgw.router.memory_budget import MemoryBudget
 from holdgw.router.platform import accept_queued, has_unread_input, peer_closed
-from holdgw.router.reply import MAX_HELD_BYTES
 from holdgw.wire.address import Address
 
 LISTEN_BACKLOG = 1024
@@ -74,10 +74,11 @@
         """Duplicates a transport's descriptor for another process; the sender closes the duplicate."""
         self.lingering: dict[ClientConnection, None] = {}
         """Connections in a lingering close, the oldest first."""
-        self.holding: dict[ClientConnection, None] = {}
-        """Connections that hold a streamed answer back."""
+        self.holding: dict[ClientConnection, int] = {}
+        """Connections that hold a streamed answer back, with the bytes of memory reserved for it."""
         self._limit = limit
         self._max_unsent_bytes = max_unsent_bytes
+        self._hold_memory = MemoryBudget(max_unsent_bytes // HELD_MEMORY_DIVISOR)
         self._connections: dict[ClientConnection, None] = {}
         self._server: asyncio.Server | None = None
         self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -148,16 +149,21 @@
         """Remove a closed connection."""
         self._connections.pop(connection, None)
         self.lingering.pop(connection, None)
-        self.holding.pop(connection, None)
+        self.end_hold(connection)
 
-    def may_hold(self, connection: ClientConnection) -> bool:
-        """Whether a connection may hold a streamed answer back; if so, it is entered in `holding`."""
-        max_count = self._max_unsent_bytes // (HELD_MEMORY_DIVISOR * MAX_HELD_BYTES)
-        if connection not in self.holding and len(self.holding) >= max_count:
+    def may_hold(self, connection: ClientConnection, size_bytes: int) -> bool:
+        """Whether a connection may hold a streamed answer back: its memory is reserved until `end_hold`."""
+        if connection in self.holding:
+            return True
+        if not self._hold_memory.reserve(size_bytes):
             return False
-        self.holding[connection] = None
+        self.holding[connection] = size_bytes
         return True
 
+    def end_hold(self, connection: ClientConnection) -> None:
+        """Release the memory that a connection has reserved for its streamed answer, if any."""
+        self._hold_memory.release(self.holding.pop(connection, 0))
+
     def _eviction_candidate(self) -> ClientConnection | None:
         """The connection to evict: a silent one if there is any, else the one idle longest.
 
--- a/holdgw/router/reply.py
+++ b/holdgw/router/reply.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+
+from holdgw.wire.resp import bulk_header
 
 if TYPE_CHECKING:
     from holdgw.router.client_connection import ClientConnection
@@ -15,6 +17,12 @@
 """The most of a streamed value that is held back while commands behind it wait for their answers."""
 
 
+STOPPED_AFTER_S = 0.25
+"""A value counts as stopped if no part of it has arrived for this time."""
+HOLD_CHECK_INTERVAL_S = 0.05
+"""Time between two checks whether a stopped value goes on."""
+
+
 class StreamSource(Protocol):
     """The source of a streamed answer's parts."""
 
@@ -24,39 +32,60 @@
     def resume(self) -> None:
         """Continue to deliver parts."""
 
+    def give_up(self) -> None:
+        """Deliver no more parts; the answer is aborted at once."""
+
+
+class HoldTimes(NamedTuple):
+    """How long a streamed answer is held back for the commands behind it, in seconds since its start."""
+
+    hold_s: float
+    """While its value arrives."""
+    give_up_s: float
+    """While its value has stopped; then the answer is an error."""
+
 
 class StreamedAnswer:
     """An answer that is written in parts as its source delivers them.
 
     If a value breaks off after its first part is written, its connection has to be closed, and the commands
     behind it get no answer. While there are such commands the answer is therefore held back, for a limited
-    time and up to `MAX_HELD_BYTES`: a value that breaks off meanwhile becomes an error.
+    time and up to `MAX_HELD_BYTES`: a value that breaks off meanwhile, or stops for good, becomes an error.
     """
 
     __slots__ = (
         "complete",
+        "give_up_at_s",
+        "hold_bytes",
         "hold_timer",
         "hold_until_s",
+        "last_part_at_s",
         "source",
         "started",
         "unwritten",
         "unwritten_bytes",
     )
 
-    def __init__(self, head: bytes, source: StreamSource, hold_until_s: float) -> None:
-        """`hold_until_s`: the event loop's time until which the answer may be held back."""
+    def __init__(self, length: int, source: StreamSource, times: HoldTimes, now_s: float) -> None:
+        """Create an answer with a value of `length` bytes; `now_s`: the event loop's time."""
+        head = bulk_header(length)
         self.unwritten = deque((head,))
         self.unwritten_bytes = len(head)
         self.source = source
-        self.hold_until_s = hold_until_s
+        self.hold_bytes = min(length, MAX_HELD_BYTES)
+        """The memory that the answer takes while it is held back."""
+        self.hold_until_s = now_s + times.hold_s
+        self.give_up_at_s = now_s + times.give_up_s
+        self.last_part_at_s = now_s
         self.hold_timer: asyncio.TimerHandle | None = None
         self.started = False  # a part is written
         self.complete = False  # its last part has arrived
 
-    def append(self, data: bytes) -> None:
+    def append(self, data: bytes, now_s: float) -> None:
         """Add a part."""
         self.unwritten.append(data)
         self.unwritten_bytes += len(data)
+        self.last_part_at_s = now_s
 
     def is_held(self, connection: ClientConnection) -> bool:
         """Whether the answer is next in turn, and is held back for the sake of the commands behind it."""
@@ -65,19 +94,29 @@
             and len(connection.replies) > 1
             and connection.replies[0].streamed is self
             and self.unwritten_bytes <= MAX_HELD_BYTES
-            and connection.listener.loop.time() < self.hold_until_s
-            and connection.listener.may_hold(connection)
+            and self._has_time(connection.listener.loop.time())
+            and connection.listener.may_hold(connection, self.hold_bytes)
         )
 
+    def _has_time(self, now_s: float) -> bool:
+        if self.hold_timer is None:
+            # The answer's turn has come, and so far its value may have been paused: its rest needs some time.
+            self.hold_until_s = max(self.hold_until_s, now_s + STOPPED_AFTER_S)
+            self.give_up_at_s = max(self.give_up_at_s, self.hold_until_s)
+        return now_s < self.hold_until_s or self._has_stopped(now_s)
+
+    def _has_stopped(self, now_s: float) -> bool:
+        return now_s - self.last_part_at_s >= STOPPED_AFTER_S
+
     def write(self, connection: ClientConnection, transport: asyncio.Transport) -> bool:
         """Write parts until writing blocks; returns whether the whole answer is written."""
         if self.is_held(connection):
             if self.hold_timer is None:
                 loop = connection.listener.loop
-                self.hold_timer = loop.call_at(self.hold_until_s, self._stop_holding, connection)
+                self.hold_timer = loop.call_at(self.hold_until_s, self._check_hold, connection)
             self.source.resume()  # it was paused if the answer had to wait for its turn
             return False
-        connection.listener.holding.pop(connection, None)
+        connection.listener.end_hold(connection)
         while self.unwritten and not connection.write_blocked:
             self.started = True
             part = self.unwritten.popleft()
@@ -89,10 +128,20 @@
             self.source.resume()
         return self.complete
 
-    def _stop_holding(self, connection: ClientConnection) -> None:
-        self.hold_until_s = 0.0
-        if not connection.closed:
+    def _check_hold(self, connection: ClientConnection) -> None:
+        """End the hold: write the answer if its value goes on arriving, and give up one that has stopped."""
+        is_next = bool(connection.replies) and connection.replies[0].streamed is self
+        if connection.closed or self.started or not is_next:
+            return
+        loop = connection.listener.loop
+        now_s = loop.time()
+        if not self._has_stopped(now_s):
             connection.flush()
+        elif now_s >= self.give_up_at_s:
+            self.source.give_up()
+        else:
+            check_at_s = min(now_s + HOLD_CHECK_INTERVAL_S, self.give_up_at_s)
+            self.hold_timer = loop.call_at(check_at_s, self._check_hold, connection)
 
 
 class Reply:
@@ -130,19 +179,21 @@
         )
         self.connection.flush()
 
-    def start_stream(self, head: bytes, source: StreamSource, max_hold_s: float) -> None:
-        """Start a streamed answer with its first bytes; `source` is paused while the client is slow.
+    def start_stream(self, length: int, source: StreamSource, times: HoldTimes) -> None:
+        """Start a streamed answer with a value of `length` bytes.
 
-        `max_hold_s`: how long the answer may be held back for the sake of commands behind it.
+        `source` is paused while the client is slow; `times` bounds how long the answer is held back.
         """
-        hold_until_s = self.connection.listener.loop.time() + max_hold_s
-        self.streamed = StreamedAnswer(head, source, hold_until_s)
+        self.streamed = StreamedAnswer(length, source, times, self._now_s())
         self.connection.flush()
 
+    def _now_s(self) -> float:
+        return self.connection.listener.loop.time()
+
     def write_part(self, data: bytes) -> None:
         """Append a part to the streamed answer."""
         assert self.streamed is not None
-        self.streamed.append(data)
+        self.streamed.append(data, self._now_s())
         self.connection.flush()
         # Without this whole values would be buffered for a slow client.
         is_above_limit = self.streamed.unwritten_bytes > MAX_UNSENT_BYTES
@@ -152,7 +203,7 @@
     def end_stream(self, tail: bytes) -> None:
         """Append the last part of the streamed answer."""
         assert self.streamed is not None
-        self.streamed.append(tail)
+        self.streamed.append(tail, self._now_s())
         self.streamed.complete = True
         self.connection.flush()
 
@@ -167,7 +218,7 @@
             self.connection.close_amid_answer()
         else:
             self.streamed = None
-            self.connection.listener.holding.pop(self.connection, None)
+            self.connection.listener.end_hold(self.connection)
             self.send(error)
 
     def send_error(self, message: str) -> None:
--- a/holdgw/router/streamed_value.py
+++ b/holdgw/router/streamed_value.py
@@ -8,15 +8,24 @@
 from holdgw.router.exchange import Exchange
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.open_request import OpenRequest
+from holdgw.router.reply import MAX_HELD_BYTES, HoldTimes
 from holdgw.router.timer_wheel import Timer
-from holdgw.wire import resp
 
 STREAM_STALL_NS = 8 * NS_PER_S
 """Longest pause within a value before its endpoint counts as stalled."""
-MAX_HOLD_S = 0.5
-"""Longest time for which a value is held back; clients take 2 s without its rest for a loss."""
-MAX_HOLD_FRACTION = 0.5
-"""The same, of the time until the request's deadline."""
+MAX_HOLD_FRACTION = 0.9
+"""Fraction of the time until the request's deadline for which a value is held back that fits in the hold."""
+MAX_PARTIAL_HOLD_S = 0.5
+"""Longest time for which a longer value is held back; clients take 2 s without its rest for a loss."""
+MAX_PARTIAL_HOLD_FRACTION = 0.5
+"""The same, as a fraction of the time until the request's deadline."""
+
+
+def hold_times(length: int, remaining_s: float) -> HoldTimes:
+    """How long a value of `length` bytes is held back if `remaining_s` seconds are left for its request."""
+    if length <= MAX_HELD_BYTES:
+        return HoldTimes(remaining_s * MAX_HOLD_FRACTION, remaining_s)
+    return HoldTimes(min(remaining_s * MAX_PARTIAL_HOLD_FRACTION, MAX_PARTIAL_HOLD_S), remaining_s)
 
 
 class StreamedValue:
@@ -38,8 +47,7 @@
     def start_answer(self, length: int) -> None:
         """Start the client's answer with a value of `length` bytes."""
         remaining_s = max(self._request.deadline_ns - self.started_ns, 0) / NS_PER_S
-        max_hold_s = min(remaining_s * MAX_HOLD_FRACTION, MAX_HOLD_S)
-        self._request.reply.start_stream(resp.bulk_header(length), self, max_hold_s)
+        self._request.reply.start_stream(length, self, hold_times(length, remaining_s))
 
     def write(self, data: bytes) -> None:
         """Forward a part of the value, unless the client has disconnected."""
@@ -78,6 +86,10 @@
             self._progress_ns = self._owner.now_ns()
             connection.resume_reading()
 
+    def give_up(self) -> None:
+        """Abandon the attempt, whose value has stopped arriving."""
+        self._exchange.abandon(Outcome.TIMEOUT)
+
     def cancel_timer(self) -> None:
         """Stop checking for a stalled endpoint."""
         self._stall_timer.cancel()
@@ -98,6 +110,6 @@
             self._progress_ns = now_ns  # the client is slow; its connection has a timeout of its own
         due_ns = self._progress_ns + STREAM_STALL_NS
         if now_ns >= due_ns:
-            self._exchange.abandon(Outcome.TIMEOUT)
+            self.give_up()
         else:
             self._stall_timer = self._owner.timer_wheel.call_at(due_ns, self._check_progress)
--- a/tests/router/test_long_values.py
+++ b/tests/router/test_long_values.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -11,9 +12,20 @@
 
 from holdgw.policy import Outcome, RoutingPolicy, StreamStarted
 from holdgw.router import client_connection, streamed_value
+from holdgw.router.reply import MAX_HELD_BYTES
 from holdgw.wire.http import HttpError, ResponseReader
 from holdgw.wire.resp import MAX_BUFFERED_VALUE_BYTES, MAX_VALUE_BYTES
-from tests.emulated_nodes import LIMIT_S, MISS, LoopbackRouter, LoopbackServer, command, entry, read, run
+from tests.emulated_nodes import (
+    LIMIT_S,
+    MISS,
+    LoopbackRouter,
+    LoopbackServer,
+    command,
+    entry,
+    read,
+    run,
+    until,
+)
 from tests.helpers import ended, fleet, only_send, request, sends, settings, started
 
 TAIL = b"\r\n$3\r\nhit\r\n$-1\r\n"
@@ -237,6 +249,8 @@
         self.size, self.arrived = size, arrived
         self.first_allowed: asyncio.Event | None = None
         """The request `first` is answered once this is set; None: at once."""
+        self.break_allowed: asyncio.Event | None = None
+        """Values break off once this is set; None: at once."""
 
     async def serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
         while True:
@@ -244,8 +258,10 @@
             for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
                 size = int((await reader.readuntil(b"\r\n"))[1:])
                 words.append((await reader.readexactly(size + 2))[:-2])
-            if words[2] == b"broken":
+            if words[2].startswith(b"broken"):
                 writer.write(array_header(self.size) + self.arrived)
+                if self.break_allowed is not None:
+                    await self.break_allowed.wait()
                 return
             if words[2] == b"whole":
                 writer.write(array_header(self.size) + self.arrived)
@@ -302,24 +318,32 @@
     run(test)
 
 
-def test_a_value_is_not_held_back_for_longer_than_half_of_its_clients_time() -> None:
+@pytest.mark.parametrize(("size", "latest_fraction"), [(MAX_HELD_BYTES, 0.95), (MAX_HELD_BYTES + 1, 0.6)])
+def test_a_value_that_goes_on_arriving_is_not_held_back_for_longer_than_its_clients_time(
+    size: int, latest_fraction: float
+) -> None:
     # Guards against a long value that is delayed until its client has given up.
     async def test() -> None:
-        rest_allowed = asyncio.Event()
-        size = MAX_BUFFERED_VALUE_BYTES + 1000
+        head_read = asyncio.Event()
 
         async def slow(writer: Writer) -> bool:
             writer.write(array_header(size) + b"v" * 70)
-            await rest_allowed.wait()
-            writer.write(b"v" * (size - 70) + TAIL)
+            sent = 70
+            while not head_read.is_set():
+                await asyncio.sleep(0.02)
+                writer.write(b"v" * 10)
+                sent += 10
+            writer.write(b"v" * (size - sent) + TAIL)
             return True
 
         second = answer_with(array_header(5) + b"value" + TAIL)
         async with StreamingSetup(ScriptedServer(slow, second)) as setup:
+            started = time.monotonic()
             reader, writer = await setup.ask("slow", "behind", wait=900)
             head = b"$%d\r\n" % size + b"v" * 70
             assert await read_exactly(reader, len(head)) == head
-            rest_allowed.set()
+            assert time.monotonic() - started < 0.9 * latest_fraction
+            head_read.set()
             assert await read_exactly(reader, size - 70 + 2) == b"v" * (size - 70) + b"\r\n"
             assert await read_exactly(reader, len(bulk(b"value"))) == bulk(b"value")
             writer.close()
@@ -328,6 +352,59 @@
     run(test)
 
 
+@pytest.mark.parametrize("size", [100_000, MAX_HELD_BYTES + 1])
+@pytest.mark.parametrize("ending", ["reset", "silence"])
+def test_commands_behind_a_value_that_stops_for_long_are_answered(ending: str, size: int) -> None:
+    # Guards against the head of a value being sent though its rest has stopped, and those behind it lost.
+    async def test() -> None:
+        async def stops(writer: Writer) -> bool:
+            writer.write(array_header(size) + b"v" * 40_000)
+            await asyncio.sleep(0.7 if ending == "reset" else LIMIT_S)
+            return False
+
+        behind = answer_with(array_header(5) + b"value" + TAIL)
+        async with StreamingSetup(ScriptedServer(stops, behind, behind)) as setup:
+            started = time.monotonic()
+            reader, writer = await setup.ask("stops", "behind1", "behind2", wait=1000)
+            assert (await asyncio.wait_for(reader.readline(), LIMIT_S)).startswith(b"-ERR")
+            assert time.monotonic() - started < 1.5  # half a second after its time
+            assert await read_exactly(reader, 2 * len(bulk(b"value"))) == 2 * bulk(b"value")
+            writer.close()
+            await setup.until_idle()
+
+    run(test)
+
+
+def test_the_memory_of_held_values_is_counted_in_bytes() -> None:
+    # Guards against values that are sent before they are whole though the memory would hold many of them.
+    async def test() -> None:
+        size = 100_000
+        clients = MAX_HELD_BYTES // size
+        cache = BreakingCache(size, b"v" * 40_000)
+        cache.break_allowed = asyncio.Event()
+        await cache.start()
+        router = LoopbackRouter()
+        router.clients._hold_memory.limit_bytes = MAX_HELD_BYTES
+        await router.start(entry("s1", cache.port))
+        dialled = [await router.dial() for _ in range(clients)]
+        for number, (_, writer) in enumerate(dialled):
+            writer.write(
+                read(f"broken{number}", f"key-broken{number}", 1900) + read(f"b{number}", "key-b", 1900)
+            )
+        await until(lambda: len(router.clients.holding) == clients)
+        cache.break_allowed.set()
+        for reader, writer in dialled:
+            assert (await asyncio.wait_for(reader.readline(), LIMIT_S)).startswith(b"-ERR")
+            assert await read_exactly(reader, len(bulk(b"value"))) == bulk(b"value")
+            writer.close()
+        assert not router.clients.holding
+        assert not router.clients._hold_memory.held_bytes
+        router.stop()
+        cache.stop()
+
+    run(test)
+
+
 def test_a_streamed_value_that_breaks_before_its_turn_becomes_an_error() -> None:
     async def test() -> None:
         first_released = asyncio.Event()
