--- a/tests/router/test_second_answers.py
+++ b/tests/router/test_second_answers.py
@@ -6,12 +6,14 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
-from holdgw.policy import NS_PER_S, Outcome
+from holdgw.policy import NS_PER_S, Idempotency, Outcome
 from holdgw.router import connection_pool
 from holdgw.router.exchange import Exchange
 from holdgw.router.idle_connections import REST_NS
@@ -26,6 +28,7 @@
     run,
     until,
 )
+from tests.helpers import settings
 
 REST_S = REST_NS / NS_PER_S
 REQUESTS = 20
@@ -111,6 +114,82 @@
     run(test)
 
 
+class CountingCache(SecondAnswers):
+    """Misses every second request, and serves the others, which counts as a run; gives each answer twice."""
+
+    def __init__(self, late_s: float, runs: Counter[str]) -> None:
+        super().__init__(late_s)
+        self.runs = runs
+        self.requests = 0
+
+    async def _answer_resp(self, reader: asyncio.StreamReader) -> bytes:
+        answer = await super()._answer_resp(reader)
+        self.requests += 1
+        if self.requests % 2:
+            return MISS
+        self.runs[answer.split(b"made-for-")[1].split(b"\r\n")[0].decode()] += 1
+        return answer
+
+
+class CountingOrigin(SecondAnswers):
+    """Rejects every fourth request before it runs, and serves the others; gives each answer twice."""
+
+    def __init__(self, late_s: float, runs: Counter[str]) -> None:
+        super().__init__(late_s, http=True)
+        self.runs = runs
+        self.requests = 0
+
+    async def _answer_http(self, reader: asyncio.StreamReader) -> bytes:
+        answer = await super()._answer_http(reader)
+        self.requests += 1
+        if not self.requests % 4:
+            return b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+        self.runs[answer.split(b"made-for-")[1].decode()] += 1
+        return answer
+
+
+async def ask_for_lines(router: LoopbackRouter, client: str) -> dict[str, bytes]:
+    """Send reads, each as soon as the one before it is answered; returns the value or the error of each."""
+    reader, writer = await router.dial()
+    answers = {}
+    for number in range(REQUESTS):
+        request = f"{client}-{number}"
+        writer.write(read(request, f"key-{request}"))
+        line = await asyncio.wait_for(reader.readuntil(b"\r\n"), LIMIT_S)
+        answers[request] = (await reader.readuntil(b"\r\n"))[:-2] if line.startswith(b"$") else line
+    writer.close()
+    return answers
+
+
+@pytest.mark.parametrize("late_s", LATE_S[1:])
+def test_second_answers_run_no_unsafe_request_twice_and_have_none_refused_that_ran(late_s: float) -> None:
+    # Guards against a miss or a rejection of another request being taken for this one's.
+    async def test() -> None:
+        runs: Counter[str] = Counter()
+        cache, origin = CountingCache(late_s, runs), CountingOrigin(late_s, runs)
+        classes = tuple(
+            replace(request_class, idempotency=Idempotency.NOT_IDEMPOTENT)
+            for request_class in settings().classes
+        )
+        router = LoopbackRouter(config=replace(settings(), classes=classes))
+        await cache.start()
+        await origin.start()
+        await router.start(entry("s1", cache.port), entry("o", origin.port, "origin"))
+        clients = [f"c{number}" for number in range(4)]
+        for answers in await asyncio.gather(*(ask_for_lines(router, client) for client in clients)):
+            for request, answer in answers.items():
+                if answer.startswith(b"-"):
+                    assert not (answer.startswith(b"-BUSY") and runs[request])
+                else:
+                    assert answer == value_for(request)
+        assert max(runs.values()) == 1
+        router.stop()
+        cache.stop()
+        origin.stop()
+
+    run(test)
+
+
 class RecordingExchange(Exchange):
     """An exchange that records its outcome and value."""
 
