A request that has ended lets go of its last attempt, so that its memory is freed at once

Cause: OpenRequest.last_attempt and the attempt's request hold each other, so a request that had ended, and was counted as released, stayed until a garbage collection; beside load a second wave of requests is admitted before one. Change: the table breaks the cycle as it releases a request, which has no attempt in flight then.

--- a/holdgw/router/open_request.py
+++ b/holdgw/router/open_request.py
@@ -83,6 +83,7 @@
         """Release a request that is answered and has no attempt in flight; others stay open."""
         if request.answered and not request.attempts_in_flight and request.id in self.by_id:
             del self.by_id[request.id]
+            request.last_attempt = None  # the two hold each other, and would stay until a garbage collection
             self._memory.release_command(request.command)
             self._recent_ids[request.id] = None
             if len(self._recent_ids) > MAX_RECENT_IDS:
--- a/tests/processes/test_memory.py
+++ b/tests/processes/test_memory.py
@@ -23,6 +23,8 @@
 VALUE = bytes(64 << 10)
 LONG_LIST = b"c=put,t=a,d=1500,k=1,x=" + b"x" * 4000
 READ_INTERVAL_S = 0.01
+WAVES = 3
+"""Of requests, so that the memory of those that ended counts if it is not freed."""
 
 
 class SilentServer(LoopbackServer):
@@ -154,17 +156,20 @@
         await deployment.start()
         try:
             watching = asyncio.create_task(deployment.peak_mb())
-            counts = await asyncio.gather(
-                *(
-                    send_and_read(deployment.address, b"".join(SHAPES[shape](client, commands)), commands)
-                    for client in range(clients)
+            counts = [
+                await asyncio.gather(
+                    *(
+                        send_and_read(deployment.address, b"".join(SHAPES[shape](client, commands)), commands)
+                        for client in range(wave * clients, (wave + 1) * clients)
+                    )
                 )
-            )
+                for wave in range(WAVES)
+            ]
             watching.cancel()
             peak_mb = await watching
             assert peak_mb < MEMORY_MB
             assert deployment.process.returncode is None
-            assert counts == [commands] * clients
+            assert counts == [[commands] * clients] * WAVES
         finally:
             await deployment.stop()
 
