Tests: one origin that never answers serves both tests of the memory for requests

Need: the same class stood in test_memory.py and test_request_memory.py. Change: it stands in emulated_nodes.py; no assertion changed.

--- a/tests/emulated_nodes.py
+++ b/tests/emulated_nodes.py
@@ -131,6 +131,14 @@
             writer.write(self.data)
 
 
+class SilentServer(LoopbackServer):
+    """An origin that reads and never answers."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.read(1 << 16):
+            pass
+
+
 class DiscoveryServer(LoopbackServer):
     """A discovery server: a poll gets the full endpoint list at once, a watch gets no answer."""
 
--- a/tests/processes/test_memory.py
+++ b/tests/processes/test_memory.py
@@ -12,7 +12,7 @@
 import orjson
 import pytest
 
-from tests.emulated_nodes import HIT, LIMIT_S, Cache, LoopbackServer, command, entry, run, unused_address
+from tests.emulated_nodes import HIT, LIMIT_S, Cache, SilentServer, command, entry, run, unused_address
 from tests.helpers import S
 from tests.operation.admin_calls import until_serving
 
@@ -27,14 +27,6 @@
 """Of requests, so that the memory of those that ended counts if it is not freed."""
 
 
-class SilentServer(LoopbackServer):
-    """An origin that reads and never answers."""
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while await reader.read(1 << 16):
-            pass
-
-
 class Deployment:
     """One router as a process, one cache server, and an origin that holds all writes open."""
 
--- a/tests/router/test_request_memory.py
+++ b/tests/router/test_request_memory.py
@@ -17,7 +17,7 @@
     SERVED,
     Cache,
     LoopbackRouter,
-    LoopbackServer,
+    SilentServer,
     command,
     entry,
     read,
@@ -37,14 +37,6 @@
     return command(b"KV.SET", b"key-" + name, name, b"c=edit,t=a,d=%d,k=" % DEADLINE_MS + name, value)
 
 
-class SilentServer(LoopbackServer):
-    """An origin that reads and never answers."""
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while await reader.read(1 << 16):
-            pass
-
-
 class MemorySetup:
     """A router with little memory for requests, a cache server, and an origin that holds all writes open."""
 
