The bytes of commands that were read are freed when a pipeline is full, and counted no less

Behind a full pipeline it held 103,998 bytes where 7,560 were counted in the memory for requests: up to one chunk a connection. Change: discard_returned, called before the input is counted.

--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -244,6 +244,7 @@
         """
         if self.closed:
             return
+        self._reader.discard_returned()
         memory = self.listener.handler.request_memory
         if memory.resize_input(self._held_input_bytes, self._reader.buffered_count):
             self._held_input_bytes = self._reader.buffered_count
--- a/holdgw/wire/resp.py
+++ b/holdgw/wire/resp.py
@@ -163,6 +163,12 @@
         """The number of bytes that `buffered` would return."""
         return len(self._buffer) - self._start
 
+    def discard_returned(self) -> None:
+        """Free the bytes of the commands that were returned; otherwise the next incomplete one does it."""
+        if self._start:
+            del self._buffer[: self._start]
+            self._start = 0
+
     @property
     def has_partial_command(self) -> bool:
         """Whether a command has arrived in part, or is buffered."""
@@ -203,9 +209,8 @@
                 words = self._parse_command()
             except FramingError as error:
                 self._fail(error)
-        if words is None and self._start:
-            del self._buffer[: self._start]
-            self._start = 0
+        if words is None:
+            self.discard_returned()
         return words
 
     def _fail(self, error: FramingError) -> None:
--- a/tests/router/test_request_memory.py
+++ b/tests/router/test_request_memory.py
@@ -135,6 +135,24 @@
     run(test)
 
 
+def test_commands_read_before_a_full_pipeline_leave_nothing_in_the_buffer() -> None:
+    # Guards against input that is not counted: the bytes of returned commands before those that wait.
+    async def test() -> None:
+        async with MemorySetup() as setup:
+            _, writer = await setup.router.dial()
+            writer.write(b"".join(write(b"v" * 300) for _ in range(MAX_PIPELINE + 20)))
+            await until(lambda: bool(setup.router.clients.connections))
+            (connection,) = setup.router.clients.connections
+            await until(
+                lambda: connection._reader.buffered_count > 0 and len(connection.replies) >= MAX_PIPELINE
+            )
+            assert len(connection._reader._buffer) == connection._reader.buffered_count
+            writer.close()
+            await until(lambda: not setup.held_bytes)
+
+    run(test)
+
+
 def test_the_memory_of_a_client_that_leaves_is_released() -> None:
     # Guards against a memory for requests that fills up for good.
     async def test() -> None:
