Answers that can't be written yet are held within a memory, and refused beyond it

Cause: Reply.send kept a whole answer until its turn, a waiting StreamedAnswer what was read before its pause, and no budget counted either. ClientConnection.flush wrote to a client that accepted nothing as well, which ClientListener._bound_unsent_bytes then reset.

Change: ClientListener.waiting_memory counts each answer that can't be written yet. A read without room is answered -BUSY where a repeat does no harm, else as failed; answers to writes are kept. A connection may hold as much as it leaves free. flush stops while a client's buffer is full. The size is half of memory_mb less 48 MB.

test_a_slow_client_gets_its_whole_answer_during_shutdown waited for an empty queue; answers of a client that pauses wait in it now, so it waits until each is known, and asserts the same.

--- a/holdgw/router/attempt.py
+++ b/holdgw/router/attempt.py
@@ -145,6 +145,11 @@
     def _answer_client(self, value: bytes) -> None:
         request = self._request
         request.answered = True
+        if not request.reply.reserve(len(value), can_drop=request.is_read):
+            error = self._owner.answer_without_value(request.class_name)
+            self._owner.metrics.count_answer(request.class_name, error.disposition)
+            request.reply.send(error.data)
+            return
         if self._owner.interval_counters is not None:
             self._count_answer(self._owner.interval_counters)
         self._owner.metrics.count_answer(request.class_name, Disposition.SUCCEEDED)
--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -81,6 +81,7 @@
         self.transport: asyncio.Transport | None = None
         self.replies: deque[Reply] = deque()  # in the order of the commands; the first is written next
         self.write_blocked = False  # too many bytes of answers are unsent
+        self.waiting_bytes = 0  # of answers that can't be written yet, counted in the listener's memory
         self.closed = False
         self.last_active_at = listener.loop.time()  # seconds; when input arrived or output was accepted
         self.command_started_at = self.last_active_at  # seconds; when the current command began to arrive
@@ -204,6 +205,28 @@
         # first command is read, and would get no answer.
         return not self.has_sent_command and self.listener.loop.time() - self._connected_at <= FIRST_COMMAND_S
 
+    def reserve_answer(self, reply: Reply, size_bytes: int, can_drop: bool) -> bool:
+        """Reserve memory for an answer that can't be written at once; returns whether it may be kept.
+
+        It waits for an earlier one, or for the client to accept what is written.
+        A connection may hold as much as it leaves free, so that a few of them can't take all of the memory
+        (the dynamic threshold of shared buffers). Answers that can't be dropped count beyond the limit.
+        """
+        if self.closed or (self.replies[0] is reply and not self.write_blocked):
+            return True
+        memory = self.listener.waiting_memory
+        if not can_drop:
+            memory.hold(size_bytes)
+        elif not memory.reserve(size_bytes, self.waiting_bytes):
+            return False
+        reply.waiting_bytes += size_bytes
+        self.waiting_bytes += size_bytes
+        return True
+
+    def _release_answer_memory(self, size_bytes: int) -> None:
+        self.listener.waiting_memory.release(size_bytes)
+        self.waiting_bytes -= size_bytes
+
     def is_silent(self, now_s: float) -> bool:
         """Whether no answer waits, and the client has sent no command, or no request since an invalid one.
 
@@ -328,14 +351,16 @@
     def flush(self) -> None:
         """Write the answers that are due in command order."""
         replies = self.replies
-        while replies and self.transport is not None:
+        while replies and not self.write_blocked and self.transport is not None:
             answer = replies[0].answer
             streamed = replies[0].streamed
             if answer is not None:
                 self.transport.write(answer)
             elif streamed is None or not streamed.write(self, self.transport):
                 break
-            replies.popleft()
+            written = replies.popleft()
+            if written.waiting_bytes:
+                self._release_answer_memory(written.waiting_bytes)
         if self.transport is None or self._parsing:
             return
         if self._closing_after_replies:
@@ -504,6 +529,7 @@
         self.listener.connection_closed(self)
         self.listener.handler.request_memory.resize_input(self._held_input_bytes, 0)
         self._held_input_bytes = 0
+        self._release_answer_memory(self.waiting_bytes)
         replies = self.replies
         self.replies = deque()
         for reply in replies:
--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -31,10 +31,9 @@
 """Idle time before a connection is closed because too many are idle."""
 MAX_REJECTING_CONNECTIONS = 32
 """Connections above the limit that are accepted only to reject their requests."""
-HELD_MEMORY_DIVISOR = 2
-"""The limit for unsent answers divided by this is the most that streamed answers take which are held back."""
 SWEEP_INTERVAL_S = 0.25
 DEFAULT_MAX_UNSENT_BYTES = 8 << 20
+DEFAULT_MAX_WAITING_BYTES = 4 << 20
 
 log = logging.getLogger("holdgw")
 
@@ -55,6 +54,7 @@
         peer_closed: Callable[[Any], bool] = peer_closed,
         has_unread_input: Callable[[Any], bool] = has_unread_input,
         max_unsent_bytes: int = DEFAULT_MAX_UNSENT_BYTES,
+        max_waiting_bytes: int = DEFAULT_MAX_WAITING_BYTES,
     ) -> None:
         """Create a listener that does not accept yet.
 
@@ -65,6 +65,7 @@
             peer_closed: Whether the other side of a transport is closed, even if its end is unread.
             has_unread_input: Whether the kernel holds bytes of a transport that are not read.
             max_unsent_bytes: Limit for the unsent answers of all clients together.
+            max_waiting_bytes: Limit for the answers of all clients together that can't be written yet.
         """
         self.loop = loop
         self.handler = handler
@@ -78,7 +79,8 @@
         """Connections that hold a streamed answer back, with the bytes of memory reserved for it."""
         self._limit = limit
         self._max_unsent_bytes = max_unsent_bytes
-        self._hold_memory = MemoryBudget(max_unsent_bytes // HELD_MEMORY_DIVISOR)
+        self.waiting_memory = MemoryBudget(max_waiting_bytes)
+        """Bounds the answers that wait for an earlier one or for their client, and those held back."""
         self._connections: dict[ClientConnection, None] = {}
         self._server: asyncio.Server | None = None
         self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -155,14 +157,14 @@
         """Whether a connection may hold a streamed answer back: its memory is reserved until `end_hold`."""
         if connection in self.holding:
             return True
-        if not self._hold_memory.reserve(size_bytes):
+        if not self.waiting_memory.reserve(size_bytes):
             return False
         self.holding[connection] = size_bytes
         return True
 
     def end_hold(self, connection: ClientConnection) -> None:
         """Release the memory that a connection has reserved for its streamed answer, if any."""
-        self._hold_memory.release(self.holding.pop(connection, 0))
+        self.waiting_memory.release(self.holding.pop(connection, 0))
 
     def _eviction_candidate(self) -> ClientConnection | None:
         """The connection to evict: a silent one if there is any, else the one idle longest.
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -41,7 +41,7 @@
 from holdgw.router.attempt import Attempt
 from holdgw.router.cache_connection import CacheConnection
 from holdgw.router.connection_pool import ConnectionPool
-from holdgw.router.error_answers import BUSY, FAILED, busy
+from holdgw.router.error_answers import BUSY, FAILED, FAILURE, REJECTION, ErrorAnswer, busy
 from holdgw.router.event_loop_lag import LagMonitor
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.health_check import HealthCheckExchange
@@ -340,10 +340,8 @@
 
     def _give_up(self, request: OpenRequest) -> None:
         """Answer a request that the routing policy has not answered, and cancel it there."""
-        if request.attempts:
-            self._answer(request.id, FAILED, Disposition.ABORTED)
-        else:
-            self._answer(request.id, BUSY, Disposition.DECLINED)
+        error = FAILURE if request.attempts else REJECTION
+        self._answer(request.id, error.data, error.disposition)
         self.dispatch(RequestCancelled(request.id))
 
     # Called by exchanges (ExchangeOwner)
@@ -356,6 +354,11 @@
         """The latency objective of a request class in nanoseconds."""
         return self._classes[class_name].latency_objective_ns
 
+    def answer_without_value(self, class_name: str) -> ErrorAnswer:
+        """The answer to a request that ran and whose value can't be kept."""
+        is_idempotent = self._classes[class_name].idempotency is Idempotency.IDEMPOTENT
+        return REJECTION if is_idempotent else FAILURE
+
     def idle_connections_closed(self, endpoint_id: str) -> bool:
         """Whether the endpoint has closed an idle connection, and none has been opened since."""
         return self._pool.idle_connections_closed(endpoint_id)
--- a/holdgw/router/exchange_owner.py
+++ b/holdgw/router/exchange_owner.py
@@ -8,6 +8,7 @@
 from holdgw.operation.interval_counters import IntervalCounters
 from holdgw.operation.metrics import Metrics
 from holdgw.policy import Event, Settings
+from holdgw.router.error_answers import ErrorAnswer
 from holdgw.router.open_request import OpenRequestTable
 from holdgw.router.timer_wheel import TimerWheel
 
@@ -50,6 +51,10 @@
     def latency_objective_ns(self, class_name: str) -> int:
         """The latency objective of a request class, nanoseconds."""
 
+    @abstractmethod
+    def answer_without_value(self, class_name: str) -> ErrorAnswer:
+        """The answer to a request that ran and whose value can't be kept."""
+
     @abstractmethod
     def idle_connections_closed(self, endpoint_id: str) -> bool:
         """Whether the endpoint has closed an idle connection, and none has been opened since."""
--- a/holdgw/router/open_request.py
+++ b/holdgw/router/open_request.py
@@ -52,6 +52,11 @@
         self.stream: StreamedValue | None = None
         """The long value that is being streamed as the answer."""
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the request changes nothing at the origin."""
+        return self.command.value is None
+
     def remaining_ms(self, now_ns: int) -> int:
         """Milliseconds until the deadline, rounded down; below 1 there is no time for an attempt."""
         return (self.deadline_ns - now_ns) // NS_PER_MS
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -43,10 +43,22 @@
 """The memory limit divided by this is the most that clients' requests take."""
 UNSENT_MEMORY_DIVISOR = 8
 """The memory limit divided by this is the most that answers take which clients have not read."""
+WAITING_MEMORY_DIVISOR = 2
+"""The memory limit divided by this, less BASE_MEMORY_BYTES, is for answers that can't be written yet."""
+BASE_MEMORY_BYTES = 48 << 20
+"""What a process takes that serves no request."""
+MIN_WAITING_MEMORY_DIVISOR = 16
+"""The memory limit divided by this is the least for answers that can't be written yet."""
 
 log = logging.getLogger("holdgw")
 
 
+def max_waiting_bytes(memory_bytes: int) -> int:
+    """The limit for answers that can't be written yet: with the other limits it fits in the memory limit."""
+    spare_bytes = memory_bytes // WAITING_MEMORY_DIVISOR - BASE_MEMORY_BYTES
+    return max(spare_bytes, memory_bytes // MIN_WAITING_MEMORY_DIVISOR)
+
+
 class Program:
     """A router's components; `run` starts them, serves until shutdown, and closes them."""
 
@@ -108,6 +120,7 @@
             self.platform.peer_closed,
             self.platform.has_unread_input,
             config.memory_bytes // UNSENT_MEMORY_DIVISOR,
+            max_waiting_bytes(config.memory_bytes),
         )
 
     def _create_peers(self) -> PeerNode | None:
--- a/holdgw/router/reply.py
+++ b/holdgw/router/reply.py
@@ -150,7 +150,7 @@
     Answers are written in the order of the commands, in whichever order they become known.
     """
 
-    __slots__ = ("answer", "connection", "possible_wait_ns", "request", "streamed")
+    __slots__ = ("answer", "connection", "possible_wait_ns", "request", "streamed", "waiting_bytes")
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
@@ -160,6 +160,8 @@
         """The encoded answer; None while it is unknown, and where it is streamed."""
         self.streamed: StreamedAnswer | None = None
         """The streamed answer; None where it is sent as a whole."""
+        self.waiting_bytes = 0
+        """The memory reserved for the answer while it can't be written."""
         self.request: Any = None
         """The request handler's state of the request."""
 
@@ -171,6 +173,13 @@
         """Ask the kernel whether the client has closed its connection; if so, the connection is dropped."""
         return self.connection.check_disconnected()
 
+    def reserve(self, size_bytes: int, can_drop: bool) -> bool:
+        """Reserve memory for an answer that may have to wait; returns whether it may be kept.
+
+        `can_drop`: whether the client may get a short answer in place of this one.
+        """
+        return self.connection.reserve_answer(self, size_bytes, can_drop)
+
     @property
     def stream_started(self) -> bool:
         """Whether a part of a streamed answer is written."""
--- a/holdgw/router/streamed_value.py
+++ b/holdgw/router/streamed_value.py
@@ -8,11 +8,13 @@
 from holdgw.router.exchange import Exchange
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.open_request import OpenRequest
-from holdgw.router.reply import MAX_HELD_BYTES, HoldTimes
+from holdgw.router.reply import MAX_HELD_BYTES, MAX_UNSENT_BYTES, HoldTimes
 from holdgw.router.timer_wheel import Timer
 
 STREAM_STALL_NS = 8 * NS_PER_S
 """Longest pause within a value before its endpoint counts as stalled."""
+MAX_WAITING_BYTES = 2 * MAX_UNSENT_BYTES
+"""What is read of a value while its answer waits for an earlier one: up to a limit, and one more part."""
 MAX_HOLD_FRACTION = 0.9
 """Fraction of the time until the request's deadline for which a value is held back that fits in the hold."""
 MAX_PARTIAL_HOLD_S = 0.5
@@ -46,8 +48,21 @@
 
     def start_answer(self, length: int) -> None:
         """Start the client's answer with a value of `length` bytes."""
-        remaining_s = max(self._request.deadline_ns - self.started_ns, 0) / NS_PER_S
-        self._request.reply.start_stream(length, self, hold_times(length, remaining_s))
+        request = self._request
+        if not request.reply.reserve(min(length, MAX_WAITING_BYTES), can_drop=request.is_read):
+            self._drop_value()
+            return
+        remaining_s = max(request.deadline_ns - self.started_ns, 0) / NS_PER_S
+        request.reply.start_stream(length, self, hold_times(length, remaining_s))
+
+    def _drop_value(self) -> None:
+        """Answer without the value, for which there is no memory, and abandon the attempt."""
+        request = self._request
+        request.stream = None
+        error = self._owner.answer_without_value(request.class_name)
+        self._owner.metrics.count_answer(request.class_name, error.disposition)
+        request.reply.send(error.data)
+        self._exchange.abandon(Outcome.CANCELLED)
 
     def write(self, data: bytes) -> None:
         """Forward a part of the value, unless the client has disconnected."""
--- a/tests/router/test_endings.py
+++ b/tests/router/test_endings.py
@@ -497,7 +497,7 @@
         writer.write(b"".join(read(f"r{i}") for i in range(request_count)))
         await until(lambda: setup.node.clients.connection_count == 1 and setup.connection().write_blocked)
         setup.node.clients.close_gracefully(even_mid_command=True)
-        await until(lambda: not setup.connection().replies)
+        await until(lambda: all(reply.answer is not None for reply in setup.connection().replies))
         started_s = asyncio.get_running_loop().time()
         await until(
             lambda: asyncio.get_running_loop().time() > started_s + 4 * connection_close.LINGER_TIMEOUT_S
--- a/tests/router/test_long_values.py
+++ b/tests/router/test_long_values.py
@@ -384,7 +384,7 @@
         cache.break_allowed = asyncio.Event()
         await cache.start()
         router = LoopbackRouter()
-        router.clients._hold_memory.limit_bytes = MAX_HELD_BYTES
+        router.clients.waiting_memory.limit_bytes = MAX_HELD_BYTES
         await router.start(entry("s1", cache.port))
         dialled = [await router.dial() for _ in range(clients)]
         for number, (_, writer) in enumerate(dialled):
@@ -398,7 +398,7 @@
             assert await read_exactly(reader, len(bulk(b"value"))) == bulk(b"value")
             writer.close()
         assert not router.clients.holding
-        assert not router.clients._hold_memory.held_bytes
+        assert not router.clients.waiting_memory.held_bytes
         router.stop()
         cache.stop()
 
