A connection is closed only once its client's machine has acknowledged the answers

Cause: an answer counted as delivered once the transport's buffer was empty. The router shut its side, LingeringClose waited 0.5 s and asked for unsent_bytes alone, and the close over unread input, or input after it, made the kernel drop what it still held for the client. Idle timeout, the bound for idle connections and eviction went the same way.

Change: platform.unacknowledged_bytes (SIOCOUTQ). Each graceful close and each eviction asks ClientConnection.owes_client; a lingering close waits while bytes are undelivered. A client that takes nothing for 3 s is closed as before, by progress of all undelivered bytes.

The mutants closing-for-ever and fin-before-answers plant the same faults in the new lines.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -261,8 +261,8 @@
     "closing-for-ever": Mutant(
         "the close of a connection waits for ever for a client that reads nothing",
         "holdgw.router.client_connection",
-        "if self.write_blocked or self.transport.is_closing() or (self._lingering is not None and unsent):\n",
-        "if self.write_blocked:\n",
+        "        elif self._closing_after_replies:\n            self._check_write_stall(now_s)\n",
+        "        elif self._closing_after_replies:\n            return\n",
         scenario="bench/scenarios/deaf-clients.toml",
     ),
     "shed-off": Mutant(
@@ -451,7 +451,7 @@
     "fin-before-answers": Mutant(
         "a client's connection is closed while commands are unanswered",
         "holdgw.router.client_connection",
-        "        elif not self.replies and (even_mid_command or not unfinished):",
+        "        elif not self.owes_client and (even_mid_command or not unfinished):",
         "        elif even_mid_command or not self._reader.has_partial_command:",
     ),
 }
--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -9,7 +9,12 @@
 from typing import TYPE_CHECKING, Protocol, cast
 
 from holdgw.operation.process_link import MAX_PENDING_COMMAND_BYTES, ClientHandover
-from holdgw.router.connection_close import CloseCause, ConnectionEnd, LingeringClose
+from holdgw.router.connection_close import (
+    DELIVERY_CHECK_INTERVAL_S,
+    CloseCause,
+    ConnectionEnd,
+    LingeringClose,
+)
 from holdgw.router.error_answers import error_answer
 from holdgw.router.reply import MAX_UNSENT_BYTES, Reply
 from holdgw.router.request_memory import RequestMemory
@@ -33,7 +38,9 @@
 MAX_INVALID_COMMANDS = 16
 """Invalid commands in a row after which a connection is closed."""
 WRITE_STALL_TIMEOUT_S = 3.0
-"""Timeout for a client to accept any bytes of the answers that wait for it."""
+"""Timeout for a client to take any bytes of the answers that wait for it."""
+END_OF_OUTPUT_BYTES = 1
+"""What the end of a connection's output counts for among its unacknowledged bytes."""
 STREAM_STALL_TIMEOUT_S = 8.0
 """The same timeout within a streamed answer, as clients take seconds to read a long value."""
 FIRST_COMMAND_S = 0.3
@@ -100,7 +107,9 @@
         self._drops_commands = False  # further commands are not answered
         self._closing_when_idle = False
         self._handing_over = False  # further commands are left to the new process
-        self._unsent_at_last_check = 0
+        self._undelivered_at_last_check = 0
+        self._progress_at = self.last_active_at  # seconds; when the client was last seen to take answers
+        self._delivery_timer: asyncio.TimerHandle | None = None  # checks for the end of `undelivered_bytes`
         self._lingering: LingeringClose | None = None
         self._close_cause: CloseCause | None = None  # of the lingering close
 
@@ -174,6 +183,27 @@
         """Bytes of its answers that the client has not accepted."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of its answers that the client's machine has not acknowledged, unsent ones among them."""
+        if self.transport is None:
+            return 0
+        unacknowledged_bytes = self.listener.unacknowledged_bytes(self.transport)
+        if self._lingering is not None:
+            unacknowledged_bytes = max(unacknowledged_bytes - END_OF_OUTPUT_BYTES, 0)
+        return self.unsent_bytes + unacknowledged_bytes
+
+    @property
+    def owes_client(self) -> bool:
+        """Whether a close now could cost the client an answer: one is not known, written or acknowledged.
+
+        Answers that were written in this iteration of the event loop to a client that has taken all earlier
+        ones don't count: the end of the output follows them.
+        """
+        if self.transport is None or self.replies or self.write_blocked:
+            return True
+        return self.listener.unacknowledged_bytes(self.transport) > 0
+
     @property
     def is_idle(self) -> bool:
         """Whether no command is unanswered or partly received."""
@@ -369,7 +399,7 @@
         if self._reader.has_partial_command or not self._reading:
             self._process_commands()  # commands past MAX_PIPELINE, which waited in the buffer
         if self._closing_when_idle and self.is_idle and not self.listener.has_unread_input(self.transport):
-            self._start_lingering_close()
+            self.close_if_settled(CloseCause.SHUTDOWN)
 
     def _update_reading(self) -> None:
         if self._lingering is not None:
@@ -423,19 +453,27 @@
             self.transport.close()
         self._on_disconnected(CloseCause.BROKEN_VALUE)
 
-    def close_gracefully(self, even_mid_command: bool, cause: CloseCause = CloseCause.SHUTDOWN) -> None:
-        """Close as soon as no request is unanswered; `even_mid_command`: also amid an incomplete command."""
+    def close_if_settled(self, cause: CloseCause) -> None:
+        """Close a connection between requests, unless its client is owed something."""
+        if not self.owes_client:
+            self._start_lingering_close(cause)
+
+    def close_gracefully(self, even_mid_command: bool) -> None:
+        """Close as soon as no request is unanswered; `even_mid_command`: also amid an incomplete command.
+
+        To be called again until the connection is closed.
+        """
         if self.transport is None or self.closed or self._lingering is not None:
             return
         self._closing_when_idle = True
         unfinished = self._reader.has_partial_command or self._awaits_first_command
         if self._closing_after_replies:
             self._close_if_answered()
-        elif not self.replies and (even_mid_command or not unfinished):
-            self._start_lingering_close(cause)
+        elif not self.owes_client and (even_mid_command or not unfinished):
+            self._start_lingering_close(CloseCause.SHUTDOWN)
         elif even_mid_command:
             # A client that always has an unanswered request would be served until SIGKILL, and lose one then.
-            self._close_after_replies(cause)
+            self._close_after_replies(CloseCause.SHUTDOWN)
             self._process_commands()
 
     def evict(self, at_once: bool) -> None:
@@ -465,11 +503,23 @@
     def _close_if_answered(self) -> None:
         if self.replies or self.transport is None or self.closed or self._lingering is not None:
             return
-        if self._accepts_commands and self.listener.has_unread_input(self.transport):
+        if self.owes_client:
+            self._check_delivery_later()
+        elif self._accepts_commands and self.listener.has_unread_input(self.transport):
             self._update_reading()  # it was paused if the pipeline was full
         else:
             self._start_lingering_close()
 
+    def _check_delivery_later(self) -> None:
+        if self._delivery_timer is None:
+            self._delivery_timer = self.listener.loop.call_later(
+                DELIVERY_CHECK_INTERVAL_S, self._check_delivery
+            )
+
+    def _check_delivery(self) -> None:
+        self._delivery_timer = None
+        self._close_if_answered()
+
     def hand_over(self, send: Callable[[ClientHandover, int], None], stop_reading: bool) -> bool:
         """Pass the connection to another process if no request is unanswered; returns whether it was passed.
 
@@ -519,6 +569,8 @@
         if self.closed:
             return
         self.closed = True
+        if self._delivery_timer is not None:
+            self._delivery_timer.cancel()
         ConnectionEnd(
             cause,
             len(self.replies),
@@ -545,16 +597,17 @@
         """
         if self.transport is None:
             return
-        unsent = self.unsent_bytes
         # If the client accepts nothing, the kernel keeps a closing connection open for 15 minutes. The bytes
         # left may be too few to set `write_blocked`.
-        if self.write_blocked or self.transport.is_closing() or (self._lingering is not None and unsent):
-            self._check_write_stall(now_s, unsent)
-        elif self.replies or self._closing_after_replies:
+        if self.write_blocked or self.transport.is_closing():
+            self._check_write_stall(now_s)
+        elif self.replies:
             return
+        elif self._closing_after_replies:
+            self._check_write_stall(now_s)
         elif self._invalid_commands and not self._reader.has_partial_command:
             if now_s - self.command_started_at > COMMAND_TIMEOUT_S:
-                self._start_lingering_close(CloseCause.INVALID_COMMAND)
+                self._close_or_check_stall(CloseCause.INVALID_COMMAND, now_s)
         elif not self.has_sent_command or self._reader.has_partial_command:
             # A client that sends a partial command, a byte from time to time, or nothing would hold a
             # descriptor forever. A client that connects before it has a request must send the request within
@@ -562,14 +615,24 @@
             if now_s - self.command_started_at > COMMAND_TIMEOUT_S:
                 self._add_reply().send_error_and_close("Protocol error: no whole command in time")
         elif now_s - self.last_active_at > idle_timeout_s:
-            self._start_lingering_close(CloseCause.IDLE)
-
-    def _check_write_stall(self, now_s: float, unsent_bytes: int) -> None:
-        if unsent_bytes != self._unsent_at_last_check:
-            self._unsent_at_last_check = unsent_bytes
-            self.last_active_at = now_s
+            self._close_or_check_stall(CloseCause.IDLE, now_s)
+
+    def _close_or_check_stall(self, cause: CloseCause, now_s: float) -> None:
+        """Close, unless the client is still taking answers."""
+        self.close_if_settled(cause)
+        if self._lingering is None:
+            self._check_write_stall(now_s)
+
+    def _check_write_stall(self, now_s: float) -> None:
+        undelivered_bytes = self.undelivered_bytes
+        if not undelivered_bytes and not self.write_blocked:
+            self._undelivered_at_last_check = 0
+            return
+        if undelivered_bytes != self._undelivered_at_last_check:
+            self._undelivered_at_last_check = undelivered_bytes
+            self._progress_at = now_s
         is_streaming = bool(self.replies) and self.replies[0].streamed is not None
         timeout_s = STREAM_STALL_TIMEOUT_S if is_streaming else WRITE_STALL_TIMEOUT_S
-        if now_s - self.last_active_at > timeout_s:
-            log.warning("client write stalled, closing connection unsent_bytes=%d", unsent_bytes)
+        if now_s - max(self._progress_at, self.last_active_at) > timeout_s:
+            log.warning("client write stalled, closing connection unsent_bytes=%d", undelivered_bytes)
             self.abort(CloseCause.WRITE_STALL)
--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -14,7 +14,7 @@
 from holdgw.router.client_connection import ClientConnection, RequestHandler
 from holdgw.router.connection_close import CloseCause
 from holdgw.router.memory_budget import MemoryBudget
-from holdgw.router.platform import accept_queued, has_unread_input, peer_closed
+from holdgw.router.platform import Platform, accept_queued
 from holdgw.wire.address import Address
 
 LISTEN_BACKLOG = 1024
@@ -51,8 +51,7 @@
         loop: asyncio.AbstractEventLoop,
         handler: RequestHandler,
         limit: int,
-        peer_closed: Callable[[Any], bool] = peer_closed,
-        has_unread_input: Callable[[Any], bool] = has_unread_input,
+        platform: Platform | None = None,
         max_unsent_bytes: int = DEFAULT_MAX_UNSENT_BYTES,
         max_waiting_bytes: int = DEFAULT_MAX_WAITING_BYTES,
     ) -> None:
@@ -62,15 +61,16 @@
             loop: The event loop.
             handler: Serves the requests.
             limit: Connections that are served at a time.
-            peer_closed: Whether the other side of a transport is closed, even if its end is unread.
-            has_unread_input: Whether the kernel holds bytes of a transport that are not read.
+            platform: Tells what the kernel knows of a connection.
             max_unsent_bytes: Limit for the unsent answers of all clients together.
             max_waiting_bytes: Limit for the answers of all clients together that can't be written yet.
         """
         self.loop = loop
         self.handler = handler
-        self.peer_closed = peer_closed
-        self.has_unread_input = has_unread_input
+        platform = platform or Platform()
+        self.peer_closed = platform.peer_closed
+        self.has_unread_input = platform.has_unread_input
+        self.unacknowledged_bytes = platform.unacknowledged_bytes
         self.duplicate_descriptor: Callable[[Any], int] = duplicate_descriptor
         """Duplicates a transport's descriptor for another process; the sender closes the duplicate."""
         self.lingering: dict[ClientConnection, None] = {}
@@ -134,7 +134,7 @@
         # Without a limit, clients that only connect would leave no descriptors for endpoints or others.
         is_full = len(self._connections) >= self._limit + MAX_REJECTING_CONNECTIONS
         if is_full and self.lingering:
-            next(iter(self.lingering)).abort(CloseCause.EVICTED)
+            self._longest_lingering().abort(CloseCause.EVICTED)
             is_full = False
         if len(self._connections) - len(self.lingering) >= self._limit:
             candidate = self._eviction_candidate()
@@ -166,22 +166,34 @@
         """Release the memory that a connection has reserved for its streamed answer, if any."""
         self.waiting_memory.release(self.holding.pop(connection, 0))
 
+    def _longest_lingering(self) -> ClientConnection:
+        """The oldest lingering connection whose client has all answers; without any, the oldest."""
+        oldest = next(iter(self.lingering))
+        delivered = (connection for connection in self.lingering if not connection.undelivered_bytes)
+        return next(delivered, oldest)
+
     def _eviction_candidate(self) -> ClientConnection | None:
         """The connection to evict: a silent one if there is any, else the one idle longest.
 
+        None that owes its client something.
+
         By idle time alone, a flood of silent connections would evict the clients that send requests. If
         connections with a partial command were kept, they would have every new client rejected.
         """
         now = self.loop.time()
-        return min(
-            (
-                connection
-                for connection in self._connections
-                if not connection.is_lingering and (connection.is_idle or connection.is_silent(now))
-            ),
-            key=lambda connection: (not connection.is_silent(now), connection.last_active_at),
-            default=None,
-        )
+        candidates = [
+            connection
+            for connection in self._connections
+            if not connection.is_lingering and (connection.is_idle or connection.is_silent(now))
+        ]
+        while candidates:
+            candidate = min(
+                candidates, key=lambda connection: (not connection.is_silent(now), connection.last_active_at)
+            )
+            if not candidate.owes_client:
+                return candidate
+            candidates.remove(candidate)
+        return None
 
     # Handover of connections between processes
 
@@ -256,7 +268,7 @@
             return
         for connection in sorted(idle, key=lambda connection: connection.last_active_at)[:excess]:
             if now_s - connection.last_active_at > MIN_IDLE_S:
-                connection.close_gracefully(even_mid_command=False, cause=CloseCause.IDLE)
+                connection.close_if_settled(CloseCause.IDLE)
 
     def _bound_unsent_bytes(self) -> None:
         """Close the clients with the most unsent bytes if all unsent bytes exceed the limit.
--- a/holdgw/router/connection_close.py
+++ b/holdgw/router/connection_close.py
@@ -22,6 +22,8 @@
 """How long a client may take to close its side; meanwhile the connection holds a descriptor."""
 MAX_DISCARDED_BYTES = 256 << 10
 """Input that is read and discarded meanwhile; more stays in the kernel's buffers."""
+DELIVERY_CHECK_INTERVAL_S = 0.05
+"""Time between two checks whether a client that is about to be closed has its last answers."""
 
 log = logging.getLogger("holdgw")
 
@@ -98,17 +100,20 @@
 
     @property
     def accepts_input(self) -> bool:
-        """Whether more input should be read and discarded."""
-        return self.discarded_bytes <= MAX_DISCARDED_BYTES
+        """Whether more input should be read and discarded.
+
+        A reset over unread input would discard answers that are on their way.
+        """
+        return self.discarded_bytes <= MAX_DISCARDED_BYTES or self._connection.undelivered_bytes > 0
 
     def cancel(self) -> None:
         """Stop waiting."""
         self._timer.cancel()
 
     def _timed_out(self) -> None:
-        # A client that is slow to accept a large answer still gets the rest of it.
-        # ClientConnection.enforce_timeouts drops one that accepts nothing.
-        if self._connection.unsent_bytes and not self._connection.closed:
+        # A client that is slow to take a large answer still gets the rest of it.
+        # ClientConnection.enforce_timeouts drops one that takes nothing.
+        if not self._connection.closed and self._connection.undelivered_bytes:
             self._timer = self._loop.call_later(LINGER_TIMEOUT_S, self._timed_out)
         else:
             self._connection.abort(CloseCause.CLIENT_LEFT)
--- a/holdgw/router/platform.py
+++ b/holdgw/router/platform.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import select
 import socket
+import sys
+import termios
 import time
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -15,6 +18,9 @@
 from typing import Any
 
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+SIOCOUTQ = termios.TIOCOUTQ
+"""Linux, tcp(7): the bytes in a socket's send queue. Both names stand for one request."""
+INT_BYTES = 4
 
 
 def read_file(path: str) -> bytes:
@@ -22,10 +28,15 @@
     return Path(path).read_bytes()
 
 
+def _descriptor(transport: Any) -> int:
+    """The descriptor of a transport's socket; negative if it has none."""
+    sock = transport.get_extra_info("socket")
+    return sock.fileno() if sock is not None else -1
+
+
 def _poll_events(transport: Any, events: int) -> int:
     """The events of poll(2) that hold for a transport's socket now; 0 if it has none."""
-    sock = transport.get_extra_info("socket")
-    descriptor = sock.fileno() if sock is not None else -1
+    descriptor = _descriptor(transport)
     if descriptor < 0:
         return 0
     poll = select.poll()
@@ -52,6 +63,20 @@
     return bool(_poll_events(transport, select.POLLIN))
 
 
+def unacknowledged_bytes(transport: Any) -> int:
+    """The bytes of a connection that the kernel has accepted and the other side has not acknowledged.
+
+    An end of the output counts as one. 0 where the kernel doesn't tell.
+    """
+    descriptor = _descriptor(transport)
+    if descriptor < 0:
+        return 0
+    try:
+        return int.from_bytes(fcntl.ioctl(descriptor, SIOCOUTQ, bytes(INT_BYTES)), sys.byteorder)
+    except OSError:
+        return 0
+
+
 def accept_queued(listeners: Iterable[Any], max_count: int) -> list[int]:
     """Accept at most `max_count` connections queued at listeners; the caller owns the descriptors."""
     accepted: list[int] = []
@@ -94,3 +119,4 @@
     peer_closed: Callable[[Any], bool] = peer_closed
     has_unread_input: Callable[[Any], bool] = has_unread_input
     has_pending_input: Callable[[Any], bool] = has_pending_input
+    unacknowledged_bytes: Callable[[Any], int] = unacknowledged_bytes
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -117,8 +117,7 @@
             self.loop,
             self.dispatcher,
             limits.clients,
-            self.platform.peer_closed,
-            self.platform.has_unread_input,
+            self.platform,
             config.memory_bytes // UNSENT_MEMORY_DIVISOR,
             max_waiting_bytes(config.memory_bytes),
         )
--- a/holdgw/simulation/fleet_run.py
+++ b/holdgw/simulation/fleet_run.py
@@ -46,7 +46,13 @@
 from holdgw.simulation.network import Connection, Cut, Host, LinkConditions, Network
 from holdgw.simulation.process import Process
 from holdgw.simulation.trace import Trace
-from holdgw.simulation.transports import TcpTransport, has_pending_input, has_unread_input, peer_closed
+from holdgw.simulation.transports import (
+    TcpTransport,
+    has_pending_input,
+    has_unread_input,
+    peer_closed,
+    unacknowledged_bytes,
+)
 from holdgw.simulation.world import NS_PER_S, SpinError, World
 from holdgw.wire.address import Address, format_address
 
@@ -282,6 +288,7 @@
             peer_closed=peer_closed,
             has_unread_input=has_unread_input,
             has_pending_input=has_pending_input,
+            unacknowledged_bytes=unacknowledged_bytes,
         )
 
     async def start(self, discovery: Address) -> None:
--- a/holdgw/simulation/transports.py
+++ b/holdgw/simulation/transports.py
@@ -47,6 +47,11 @@
     return isinstance(transport, TcpTransport) and transport.has_pending_input
 
 
+def unacknowledged_bytes(transport: Any) -> int:
+    """The bytes sent that the peer has not read; replaces the kernel call of `router.platform`."""
+    return transport.unacknowledged_bytes if isinstance(transport, TcpTransport) else 0
+
+
 class Socket:
     """The subset of the socket interface that the programs under test use."""
 
@@ -317,6 +322,11 @@
         """Whether received bytes or an end of the input are unread, as poll(2) reports it."""
         return bool(self._received) or self.peer_closed
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """The bytes that were sent and that the peer's program has not read."""
+        return self._unacked
+
     # The kernel's half: sending
 
     def _send(self, data: bytes) -> None:
