A closing connection answers all that is written to it, and not 256 KiB of it

Cause: ClientConnection._accepts_commands stopped at 256 KiB of input since the close was decided, what was read and rejected included, and _close_if_answered then did not ask for unread input. The lingering close dropped it.

Change: no limit on input that is answered; memory is bounded by MAX_PIPELINE answers and RequestMemory, as while a connection is open. PendingClose cuts off a client that goes on sending once its machine has the answers to all earlier commands: 256 KiB more, counted from then.

Tests: test_a_client_that_floods_a_closing_connection_is_read_within_a_limit asserted that a request behind the limit has no answer, though PROTOCOL counts it as taken. In its place: one test that all is answered with memory bounded, one that a flood after the last answer is cut off at the limit. One case of test_no_attempt_is_sent_for_a_client_that_left_while_reading_was_paused paused reading by that limit; it fills the pipeline now, and asserts the same.

--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -14,6 +14,7 @@
     CloseCause,
     ConnectionEnd,
     LingeringClose,
+    PendingClose,
 )
 from holdgw.router.error_answers import error_answer
 from holdgw.router.reply import MAX_UNSENT_BYTES, Reply
@@ -33,8 +34,6 @@
 
 Clients are promised 3 s.
 """
-MAX_INPUT_WHILE_CLOSING_BYTES = 256 << 10
-"""Input that is read while a connection is about to close; more stays in the kernel's buffers."""
 MAX_INVALID_COMMANDS = 16
 """Invalid commands in a row after which a connection is closed."""
 WRITE_STALL_TIMEOUT_S = 3.0
@@ -102,7 +101,7 @@
         self._reading = True
         self._parsing = False
         self._closing_after_replies = False  # further commands are rejected
-        self._input_while_closing_bytes = 0
+        self._pending_close: PendingClose | None = None
         self._invalid_commands = 0  # since the latest valid request; PING doesn't count as one
         self._drops_commands = False  # further commands are not answered
         self._closing_when_idle = False
@@ -148,8 +147,8 @@
             return
         if self.closed:
             return
-        if self._closing_after_replies:
-            self._input_while_closing_bytes += len(data)
+        if self._pending_close is not None:
+            self._pending_close.input_received(len(data))
         self.last_active_at = self.listener.loop.time()
         if self.possible_wait_ns and self.last_active_at - self._connected_at > WAITED_INPUT_WINDOW_S:
             self.possible_wait_ns = 0
@@ -318,8 +317,7 @@
     @property
     def _accepts_commands(self) -> bool:
         if self._closing_after_replies:
-            is_readable = not (self._drops_commands or self._reader.framing_error)
-            return is_readable and self._input_while_closing_bytes <= MAX_INPUT_WHILE_CLOSING_BYTES
+            return not (self._drops_commands or self._reader.framing_error)
         return not self._handing_over
 
     @property
@@ -386,6 +384,8 @@
             streamed = replies[0].streamed
             if answer is not None:
                 self.transport.write(answer)
+                if self._pending_close is not None:
+                    self._pending_close.rejection_written(len(answer))
             elif streamed is None or not streamed.write(self, self.transport):
                 break
             written = replies.popleft()
@@ -503,10 +503,17 @@
     def _close_if_answered(self) -> None:
         if self.replies or self.transport is None or self.closed or self._lingering is not None:
             return
-        if self.owes_client:
-            self._check_delivery_later()
+        if self._pending_close is None:
+            self._pending_close = PendingClose()
+        undelivered_bytes = self.listener.unacknowledged_bytes(self.transport)
+        if self.write_blocked:
+            undelivered_bytes += self.unsent_bytes
+        if self._pending_close.is_flooded(undelivered_bytes):
+            self._start_lingering_close()
         elif self._accepts_commands and self.listener.has_unread_input(self.transport):
             self._update_reading()  # it was paused if the pipeline was full
+        elif undelivered_bytes:
+            self._check_delivery_later()
         else:
             self._start_lingering_close()
 
--- a/holdgw/router/connection_close.py
+++ b/holdgw/router/connection_close.py
@@ -22,6 +22,8 @@
 """How long a client may take to close its side; meanwhile the connection holds a descriptor."""
 MAX_DISCARDED_BYTES = 256 << 10
 """Input that is read and discarded meanwhile; more stays in the kernel's buffers."""
+MAX_INPUT_AFTER_ANSWERS_BYTES = 256 << 10
+"""Input for which a close is put off once the client has the answers to all earlier commands."""
 DELIVERY_CHECK_INTERVAL_S = 0.05
 """Time between two checks whether a client that is about to be closed has its last answers."""
 
@@ -82,6 +84,38 @@
         )
 
 
+class PendingClose:
+    """A close whose connection has answered all commands but those that still come, which are rejected.
+
+    It waits until the client has the answers, and until no input is unread; a client that floods is cut off.
+    """
+
+    __slots__ = ("_input_bytes", "_is_delivered", "_rejection_bytes")
+
+    def __init__(self) -> None:
+        self._rejection_bytes = 0
+        self._input_bytes = 0  # since the client has the answers to all earlier commands
+        self._is_delivered = False
+
+    def rejection_written(self, size_bytes: int) -> None:
+        """Count an answer to a command that came too late."""
+        self._rejection_bytes += size_bytes
+
+    def input_received(self, size_bytes: int) -> None:
+        """Count input, for which the close is put off."""
+        if self._is_delivered:
+            self._input_bytes += size_bytes
+
+    def is_flooded(self, undelivered_bytes: int) -> bool:
+        """Whether only a client that goes on sending delays the close, and has done so for long.
+
+        `undelivered_bytes`: the bytes of answers that the client's machine has not acknowledged. It
+        acknowledges them in their order, and the last ones are those of rejections.
+        """
+        self._is_delivered = undelivered_bytes <= self._rejection_bytes
+        return self._is_delivered and self._input_bytes > MAX_INPUT_AFTER_ANSWERS_BYTES
+
+
 class LingeringClose:
     """Discards input until the client closes its side, and aborts the connection after a timeout."""
 
--- a/tests/router/test_endings.py
+++ b/tests/router/test_endings.py
@@ -240,9 +240,8 @@
         if reason == "takes nothing":
             connection.pause_writing()
         elif reason == "at the router's end":
-            monkeypatch.setattr(client_connection, "MAX_INPUT_WHILE_CLOSING_BYTES", 0)
             setup.node.clients.close_gracefully(even_mid_command=True)
-            writer.write(command(b"PING"))
+            writer.write(2 * command(b"PING"))  # the pipeline is full
         attempt_count = 3 if "too many" in reason else 1
         await until(lambda: not connection._reading and len(setup.cache.seen) == attempt_count)
         writer.transport.abort()
--- a/tests/router/test_pipelines_at_a_close.py
+++ b/tests/router/test_pipelines_at_a_close.py
@@ -9,11 +9,14 @@
 
 import pytest
 
-from holdgw.router import client_connection
+from holdgw.router import client_connection, connection_close
 from holdgw.router.reply import Reply
+from holdgw.wire.resp import MAX_BUFFERED_VALUE_BYTES
 from tests.emulated_nodes import HIT, LIMIT_S, SERVED, Cache, LoopbackRouter, command, entry, read, run, until
 
 REJECTED = b"-BUSY\r\n"
+MAX_READ_BYTES = 256 << 10
+"""uvloop reads this much at a time."""
 EXPIRED = command(b"KV.GET", b"k", b"expired", b"c=read,t=a,d=0")
 INVALID = command(b"KV.GET", b"k", b"invalid", b"c=read,t=a,d=soon")
 ERROR = b"-ERR d must be a number of milliseconds\r\n"
@@ -155,12 +158,40 @@
     run(test)
 
 
-def test_a_client_that_floods_a_closing_connection_is_read_within_a_limit(
+@pytest.mark.parametrize(("count", "value_bytes"), [(20, 60_000), (2 * client_connection.MAX_PIPELINE, 0)])
+def test_every_request_written_to_a_closing_connection_is_answered_however_much_it_is(
+    count: int, value_bytes: int
+) -> None:
+    # Guards against requests being dropped behind a number of bytes of others that were rejected already.
+    async def test() -> None:
+        async with held_cache_and_router() as (cache, router):
+            reader, writer = await router.dial()
+            writer.write(read("first"))
+            await cache.request_received()
+            (connection,) = router.clients.connections
+            router.clients.close_gracefully(even_mid_command=True)
+            for number in range(count):
+                name = b"late%d" % number
+                info = b"c=edit,t=a,d=900,k=" + name
+                writer.write(command(b"KV.SET", b"k", name, info, bytes(value_bytes)))
+                await asyncio.sleep(0)
+            await until(lambda: len(connection.replies) >= min(count + 1, client_connection.MAX_PIPELINE))
+            read_at_once = MAX_READ_BYTES // len(read("late1"))
+            assert len(connection.replies) <= client_connection.MAX_PIPELINE + read_at_once
+            assert router.dispatcher.request_memory.held_bytes < 2 * MAX_BUFFERED_VALUE_BYTES
+            cache.release()
+            assert await read_to_end(reader) == SERVED + count * REJECTED
+            writer.close()
+
+    run(test)
+
+
+def test_a_client_that_floods_a_closing_connection_is_cut_off_once_its_commands_are_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # A client that always has a request on the way would keep its connection for as long as it likes.
     limit = 1 << 10
-    monkeypatch.setattr(client_connection, "MAX_INPUT_WHILE_CLOSING_BYTES", limit)
+    monkeypatch.setattr(connection_close, "MAX_INPUT_AFTER_ANSWERS_BYTES", limit)
 
     async def test() -> None:
         async with held_cache_and_router() as (cache, router):
@@ -168,16 +199,19 @@
             writer.write(read("first"))
             await cache.request_received()
             (connection,) = router.clients.connections
+            router.clients.has_unread_input = lambda _: True
             router.clients.close_gracefully(even_mid_command=True)
+            cache.release()
+            assert await read_exactly(reader, len(SERVED)) == SERVED
+            await until(lambda: connection._pending_close is not None)
+            await asyncio.sleep(2 * connection_close.DELIVERY_CHECK_INTERVAL_S)
             request = read("flood")
             for _ in range(limit // len(request) + 1):
+                assert not connection.is_lingering
                 await write_into_kernel(writer, request)
-            await until(lambda: not connection._reading)
-            rejected = len(connection.replies) - 1
-            assert rejected <= limit // len(request) + 1
-            await write_into_kernel(writer, request)
-            cache.release()
-            assert await read_to_end(reader) == SERVED + rejected * REJECTED
+                assert await read_exactly(reader, len(REJECTED)) == REJECTED
+            assert connection.is_lingering
+            assert await read_to_end(reader) == b""
             writer.close()
 
     run(test)
