A connection between requests is closed only if no request lies unread on it

A connection was idle by the clock while its request lay in the kernel; idle bound, idle timeout, eviction and shutdown closed without asking.

Change: ClientConnection.owes_client asks for unread input, and every close between requests and every eviction asks it.

--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -194,14 +194,20 @@
 
     @property
     def owes_client(self) -> bool:
-        """Whether a close now could cost the client an answer: one is not known, written or acknowledged.
+        """Whether a close now could cost the client an answer.
+
+        One is not known, written or acknowledged, or a command lies unread. Whatever closes a connection
+        between requests asks this first.
 
         Answers that were written in this iteration of the event loop to a client that has taken all earlier
         ones don't count: the end of the output follows them.
         """
         if self.transport is None or self.replies or self.write_blocked:
             return True
-        return self.listener.unacknowledged_bytes(self.transport) > 0
+        return (
+            self.listener.has_unread_input(self.transport)
+            or self.listener.unacknowledged_bytes(self.transport) > 0
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -398,7 +404,7 @@
             return
         if self._reader.has_partial_command or not self._reading:
             self._process_commands()  # commands past MAX_PIPELINE, which waited in the buffer
-        if self._closing_when_idle and self.is_idle and not self.listener.has_unread_input(self.transport):
+        if self._closing_when_idle and self.is_idle:
             self.close_if_settled(CloseCause.SHUTDOWN)
 
     def _update_reading(self) -> None:
--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -83,7 +83,7 @@
         """Bounds the answers that wait for an earlier one or for their client, and those held back."""
         self._connections: dict[ClientConnection, None] = {}
         self._server: asyncio.Server | None = None
-        self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        self._sweep_timer: asyncio.Handle = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     async def listen(self, address: Address, passed: socket.socket | None = None) -> Address:
         """Accept clients at `address`, or on `passed`, a listening socket; returns the bound address."""
@@ -245,6 +245,17 @@
             connection.abort(CloseCause.SHUTDOWN)
 
     def _sweep(self) -> None:
+        """Enforce the timeouts and limits, after the sockets were read once.
+
+        After a stall timers run before the sockets are read: a connection would be closed for want of input
+        that has arrived. What is called soon runs before the sockets are read, what that calls soon after it.
+        """
+        self._sweep_timer = self.loop.call_soon(self._sweep_after_reading)
+
+    def _sweep_after_reading(self) -> None:
+        self._sweep_timer = self.loop.call_soon(self._enforce_limits)
+
+    def _enforce_limits(self) -> None:
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.loop.time()
         is_busy = len(self._connections) > self._limit * BUSY_FRACTION
--- a/tests/router/test_endings.py
+++ b/tests/router/test_endings.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
@@ -419,21 +420,24 @@
     "shutdown": lambda setup: setup.node.clients.close_gracefully(even_mid_command=False),
     "late in the shutdown": lambda setup: setup.node.clients.close_gracefully(even_mid_command=True),
     "idle for long": lambda setup: setup.connection().enforce_timeouts(1e12, 1.0),
+    "too many idle": lambda setup: setup.node.clients._bound_idle_connections(1e12),
 }
 
 
 @pytest.mark.parametrize("end", CLOSE_ACTIONS)
 @pytest.mark.parametrize("late_bytes", [read("r2"), read("r2")[:9], read("r2") * 300])
 def test_a_request_arriving_as_an_idle_connection_is_closed_is_ignored_without_a_reset(
-    end: str, late_bytes: bytes
+    end: str, late_bytes: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    monkeypatch.setattr(client_listener, "MAX_IDLE_FRACTION", 0.0)
+
     async def steps(setup: RouterSetup) -> None:
         setup.answers_released.set()
         reader, writer = await setup.node.dial()
         writer.write(read("r1"))
         await until(lambda: bool(setup.cache.seen) and setup.connection().is_idle)
-        write_now(writer, late_bytes)
         CLOSE_ACTIONS[end](setup)
+        write_now(writer, late_bytes)
         # The answer and the end of the connection; a reset would raise an exception here.
         assert await asyncio.wait_for(reader.read(), LIMIT_S) == SERVED
         with suppress(OSError):
@@ -445,6 +449,84 @@
     run_with_setup(steps)
 
 
+@pytest.mark.parametrize("end", CLOSE_ACTIONS)
+@pytest.mark.parametrize("unread", [1, 200])
+def test_requests_that_lie_unread_as_an_idle_connection_is_to_be_closed_are_answered(
+    end: str, unread: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against requests lost whose last byte had reached the router's machine before it ended their
+    # connection.
+    monkeypatch.setattr(client_listener, "MAX_IDLE_FRACTION", 0.0)
+
+    async def steps(setup: RouterSetup) -> None:
+        setup.answers_released.set()
+        reader, writer = await setup.node.dial()
+        writer.write(read("r0"))
+        await until(lambda: bool(setup.cache.seen) and setup.connection().is_idle)
+        write_now(writer, b"".join(read(f"r{number + 1}", f"k{number}") for number in range(unread)))
+        CLOSE_ACTIONS[end](setup)
+        answer = b"-BUSY\r\n" if end == "late in the shutdown" else SERVED
+        expected = SERVED + unread * answer
+        assert await asyncio.wait_for(reader.readexactly(len(expected)), LIMIT_S) == expected
+        writer.close()
+
+    run_with_setup(steps)
+
+
+@pytest.mark.parametrize("partial", [False, True])
+def test_timeouts_are_judged_by_what_has_arrived_when_the_process_was_held_up(
+    partial: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a sweep that runs late, before the sockets are read, and closes connections over requests
+    # that came while the process was held up.
+    monkeypatch.setattr(client_listener, "MAX_IDLE_FRACTION", 0.0)
+    monkeypatch.setattr(client_connection, "COMMAND_TIMEOUT_S", 0.4)
+    held_up_s = 1.0
+
+    async def steps(setup: RouterSetup) -> None:
+        setup.answers_released.set()
+        clients = [await setup.node.dial() for _ in range(40)]
+        for number, (_, writer) in enumerate(clients):
+            writer.write(read(f"r{number}"))
+        for reader, _ in clients:
+            await asyncio.wait_for(reader.readexactly(len(SERVED)), LIMIT_S)
+        requests = [read(f"s{number}", f"k{number}", 1900) for number in range(len(clients))]
+        sent_before = 9 if partial else 0
+        for (_, writer), request in zip(clients, requests, strict=True):
+            writer.write(request[:sent_before])
+        await until(lambda: not partial or all(not item.is_idle for item in setup.node.clients.connections))
+
+        def send_the_rest() -> None:
+            for (_, writer), request in zip(clients, requests, strict=True):
+                write_now(writer, request[sent_before:])
+
+        # Both this timer and that of the sweep are due after the sleep, and run before the sockets are read.
+        asyncio.get_running_loop().call_later(0.0, send_the_rest)
+        time.sleep(held_up_s)
+        for reader, writer in clients:
+            assert await asyncio.wait_for(reader.readexactly(len(SERVED)), LIMIT_S) == SERVED
+            writer.close()
+
+    run_with_setup(steps, limit=256)
+
+
+def test_a_connection_with_an_unread_request_is_not_evicted() -> None:
+    # Guards against a new connection that takes the place of one whose request lies unread.
+    async def steps(setup: RouterSetup) -> None:
+        setup.answers_released.set()
+        reader, writer = await setup.node.dial()
+        writer.write(read("r1"))
+        assert await asyncio.wait_for(reader.readexactly(len(SERVED)), LIMIT_S) == SERVED
+        connection = setup.connection()
+        write_now(writer, read("r2", "k2"))
+        assert setup.node.clients._eviction_candidate() is None
+        assert await asyncio.wait_for(reader.readexactly(len(SERVED)), LIMIT_S) == SERVED
+        await until(lambda: setup.node.clients._eviction_candidate() is connection)
+        writer.close()
+
+    run_with_setup(steps, limit=1)
+
+
 def test_a_client_that_floods_or_never_closes_delays_the_close_only_briefly(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
