An eviction asks the kernel of sixteen connections at most

Since evictions ask whether a connection owes its client something, a new connection at the limit took a scan and two system calls for every idle one that does; after a stall that is most of them, and many new connections come at once.

Change: the MAX_EVICTION_CANDIDATES that would go first are asked; if each owes something, the new connection rejects its requests, as where no connection is idle.

--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import logging
 import os
 import socket
@@ -29,6 +30,8 @@
 """Fraction of the limit that connections between requests may take."""
 MIN_IDLE_S = 0.3
 """Idle time before a connection is closed because too many are idle."""
+MAX_EVICTION_CANDIDATES = 16
+"""Connections of which the kernel is asked whether they may be evicted."""
 MAX_REJECTING_CONNECTIONS = 32
 """Connections above the limit that are accepted only to reject their requests."""
 SWEEP_INTERVAL_S = 0.25
@@ -175,7 +178,8 @@
     def _eviction_candidate(self) -> ClientConnection | None:
         """The connection to evict: a silent one if there is any, else the one idle longest.
 
-        None that owes its client something.
+        None that owes its client something, nor one behind MAX_EVICTION_CANDIDATES of these: after a stall
+        most connections do, and many new ones come.
 
         By idle time alone, a flood of silent connections would evict the clients that send requests. If
         connections with a partial command were kept, they would have every new client rejected.
@@ -186,14 +190,12 @@
             for connection in self._connections
             if not connection.is_lingering and (connection.is_idle or connection.is_silent(now))
         ]
-        while candidates:
-            candidate = min(
-                candidates, key=lambda connection: (not connection.is_silent(now), connection.last_active_at)
-            )
-            if not candidate.owes_client:
-                return candidate
-            candidates.remove(candidate)
-        return None
+        first_candidates = heapq.nsmallest(
+            MAX_EVICTION_CANDIDATES,
+            candidates,
+            key=lambda connection: (not connection.is_silent(now), connection.last_active_at),
+        )
+        return next((candidate for candidate in first_candidates if not candidate.owes_client), None)
 
     # Handover of connections between processes
 
--- a/tests/router/test_endings.py
+++ b/tests/router/test_endings.py
@@ -527,6 +527,30 @@
     run_with_setup(steps, limit=1)
 
 
+def test_few_connections_are_asked_whether_they_may_be_evicted(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against new connections that each take a question to the kernel for every idle one.
+    asked = 0
+
+    def has_unread_input(_: Any) -> bool:
+        nonlocal asked
+        asked += 1
+        return True
+
+    async def steps(setup: RouterSetup) -> None:
+        setup.answers_released.set()
+        clients = [await setup.node.dial() for _ in range(40)]
+        for number, (reader, writer) in enumerate(clients):
+            writer.write(read(f"r{number}"))
+            assert await asyncio.wait_for(reader.readexactly(len(SERVED)), LIMIT_S) == SERVED
+        monkeypatch.setattr(setup.node.clients, "has_unread_input", has_unread_input)
+        assert setup.node.clients._eviction_candidate() is None
+        assert asked == client_listener.MAX_EVICTION_CANDIDATES
+        for _, writer in clients:
+            writer.close()
+
+    run_with_setup(steps)
+
+
 def test_a_client_that_floods_or_never_closes_delays_the_close_only_briefly(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
