A report without a view is sent again, so that no living aggregator is given up on

Cause: a router reports once a second and falls back after three reports without a view. One goes to the dead aggregator alone. Two lost datagrams to the living one make it count as unresponsive, and the third report goes to the dead one alone.

Change: after two reports in a row without a view the second is sent again half a second later, to those in use and then to unresponsive ones, two in all.

The simulated test fails on the text before with 8 of 8 routers fallen back.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -48,6 +48,13 @@
         return ((self.module, self.old, self.new), *self.more)
 
 
+REPORTS_NOT_RETRIED = (
+    "holdgw.peers.aggregation_client",
+    "        return self._reports_without_view >= REPORTS_BEFORE_RETRY and not self.in_fallback\n",
+    "        return False\n",
+)
+"""A patch (module, old, new) that two mutants have in common."""
+
 MUTANTS: dict[str, Mutant] = {
     "stall-forgotten": Mutant(
         "requests read after the process was paused get their whole deadline",
@@ -375,12 +382,27 @@
         figure="replayed",
     ),
     "answers-unwatched": Mutant(
-        "a router keeps reporting to an aggregator that doesn't answer",
+        "a router keeps reporting to an aggregator that doesn't answer, and sends no report again",
         "holdgw.peers.aggregator_choice",
         "            self._check_answer(state, now)\n",
         "",
+        more=(REPORTS_NOT_RETRIED,),
         figure="without-view",
     ),
+    "unresponsive-in-use": Mutant(
+        "a router keeps reporting to an aggregator that doesn't answer",
+        "holdgw.peers.aggregator_choice",
+        "            self._check_answer(state, now)\n",
+        "",
+        test="tests/peers/test_aggregation.py::"
+        "test_reports_alternate_and_an_unresponsive_aggregator_is_retried_beside_another",
+    ),
+    "reports-not-retried": Mutant(
+        "a report that has brought no view is not sent again",
+        *REPORTS_NOT_RETRIED,
+        test="tests/simulation/test_aggregated_tier.py::"
+        "test_datagrams_lost_beside_a_dead_aggregator_bring_no_router_into_its_fallback",
+    ),
     "first-view-alone": Mutant(
         "a response time is taken from the first of two views, whatever the other and the own sample say",
         "holdgw.peers.view_selection",
--- a/holdgw/peers/aggregated_exchange.py
+++ b/holdgw/peers/aggregated_exchange.py
@@ -116,6 +116,17 @@
             out += [OutgoingDatagram(number, gossiped) for number in targets]
         return out
 
+    def retry_report(self, now: int) -> list[OutgoingDatagram]:
+        """Return the datagrams of this router's report once more, where the last reports brought no view.
+
+        To be called RETRY_AFTER_S after each report. Datagrams lost beside a dead aggregator thus bring no
+        router into its fallback.
+        """
+        if self.client is None or self.aggregator is not None or not self.client.needs_retry:
+            return []
+        due = self.client.retry(self._load_view.report(now), self._members.is_present, now)
+        return [OutgoingDatagram(number, due.data) for number in due.targets]
+
     def update_fallback(self, now: int) -> FallbackChange:
         """Enter or leave the fallback, where this member is a router."""
         return FallbackChange.NONE if self.client is None else self.client.update_fallback(now)
--- a/holdgw/peers/aggregation_client.py
+++ b/holdgw/peers/aggregation_client.py
@@ -23,6 +23,8 @@
 from holdgw.peers.view_selection import VIEW_MAX_AGE, OwnLoad, ViewSelection
 
 REPORT_INTERVAL_S = 1.0
+REPORTS_BEFORE_RETRY = 2  # consecutive reports without a view, of which the last is sent again
+RETRY_AFTER_S = 0.5  # time from a report to its retry; aggregators answer a router at most each 0.4 s
 APPLY_AFTER_S = 0.3  # time from a report to the new snapshot; the answer has arrived by then
 FALLBACK_FANOUT = 2  # routers that a report is sent to in fallback
 MIN_ZONE = 3  # routers of a zone with which it needs no other zone in its fallback
@@ -68,6 +70,7 @@
         self._random = random.Random(seed)
         self._sequence = 0
         self._last_view_at = now
+        self._reports_without_view = 0
 
     def add_sequence(self, report: LoadReport) -> SequencedReport:
         """Return the report with the next sequence number."""
@@ -77,6 +80,20 @@
     def report(self, report: LoadReport, is_present: Callable[[int], bool], now: int) -> ReportDue:
         """Return the datagram of the report due now, and the aggregators that it goes to."""
         targets = self.choice.next_targets(is_present, now)
+        self._reports_without_view += 1
+        return ReportDue(targets, sequenced_report.encode(self.add_sequence(report)))
+
+    @property
+    def needs_retry(self) -> bool:
+        """Whether the last reports have brought no view; never in fallback, where other routers are heard."""
+        return self._reports_without_view >= REPORTS_BEFORE_RETRY and not self.in_fallback
+
+    def retry(self, report: LoadReport, is_present: Callable[[int], bool], now: int) -> ReportDue:
+        """Return the datagram of a report that is sent again, and the aggregators that it goes to.
+
+        It has a sequence number of its own, as aggregators answer none that they have received already.
+        """
+        targets = self.choice.retry_targets(is_present, now)
         return ReportDue(targets, sequenced_report.encode(self.add_sequence(report)))
 
     def receive(self, view: ViewPart, now: int) -> ViewResult:
@@ -96,6 +113,7 @@
         if view.aggregator != self._own_number:
             self.choice.answered(view.aggregator)
         self._last_view_at = now
+        self._reports_without_view = 0
         return ViewResult.TAKEN
 
     def update_fallback(self, now: int) -> FallbackChange:
--- a/holdgw/peers/aggregator_choice.py
+++ b/holdgw/peers/aggregator_choice.py
@@ -88,6 +88,23 @@
             state.pending = True
         return targets
 
+    def retry_targets(self, is_present: Callable[[int], bool], now: int) -> list[int]:
+        """Return the aggregators that a report is sent to again: those in use, then unresponsive ones.
+
+        Lost datagrams may have made the only reachable aggregator count as unresponsive. One whose view is
+        pending keeps the time of its report, so that it counts as unresponsive no later than without the
+        retry.
+        """
+        usable = self._usable(is_present, now)
+        others = [number for number in self.order if is_present(number) and number not in usable]
+        targets = [*usable, *others][:AGGREGATORS_PER_ZONE]
+        for number in targets:
+            state = self._states[number]
+            if not state.pending:
+                state.reported_at = now
+                state.pending = True
+        return targets
+
     def _last_reported(self, number: int) -> int:
         reported_at = self._states[number].reported_at
         return -1 if reported_at is None else reported_at
--- a/holdgw/peers/gossip.py
+++ b/holdgw/peers/gossip.py
@@ -16,7 +16,12 @@
 
 from holdgw.peers import datagram, load_report
 from holdgw.peers.aggregated_exchange import AggregatedExchange, ExchangeConfig, Role
-from holdgw.peers.aggregation_client import APPLY_AFTER_S, REPORT_INTERVAL_S, FallbackChange
+from holdgw.peers.aggregation_client import (
+    APPLY_AFTER_S,
+    REPORT_INTERVAL_S,
+    RETRY_AFTER_S,
+    FallbackChange,
+)
 from holdgw.peers.aggregator import BYTES_PER_MEMBER, OutgoingDatagram
 from holdgw.peers.datagram import DecodeError, DropReason, MemberState
 from holdgw.peers.dissemination import OutgoingMessage
@@ -32,6 +37,7 @@
 FANOUT = 4  # peers that each load report is sent to
 AGGREGATED_REPORT_TICKS = round(REPORT_INTERVAL_S / TICK_S)
 APPLY_TICKS = round(APPLY_AFTER_S / TICK_S)
+RETRY_TICKS = round(RETRY_AFTER_S / TICK_S)
 OBSERVE_TICKS = range(0, AGGREGATED_REPORT_TICKS - REPORT_TICKS + 1, REPORT_TICKS)
 """The ticks of a report interval at which the owner's observations are taken: several, as the owner can hold
 a bounded number of them only."""
@@ -206,6 +212,8 @@
             if change is not FallbackChange.NONE:
                 log.warning("peers: fallback to gossip change=%s", change.value)
             self._owner.apply_load_snapshot(exchange.snapshot(now))
+        elif phase == RETRY_TICKS:
+            self._send_datagrams(exchange.retry_report(now))
 
     def _receive(self, data: bytes, source: Address) -> None:
         self.bytes_received += len(data)
--- a/holdgw/simulation/aggregated_tier.py
+++ b/holdgw/simulation/aggregated_tier.py
@@ -14,7 +14,7 @@
 
 from holdgw.emulators.relay_model import RelayModel
 from holdgw.peers.aggregated_exchange import AggregatedExchange, ExchangeConfig, Role
-from holdgw.peers.aggregation_client import APPLY_AFTER_S, REPORT_INTERVAL_S
+from holdgw.peers.aggregation_client import APPLY_AFTER_S, REPORT_INTERVAL_S, RETRY_AFTER_S
 from holdgw.peers.aggregator import OutgoingDatagram
 from holdgw.peers.datagram import DecodeError
 from holdgw.peers.load_view import LoadSnapshot, LoadView, Observations, SampledResponseTime
@@ -24,6 +24,7 @@
 TICK_NS = 100_000_000
 REPORT_TICKS = round(REPORT_INTERVAL_S * NS_PER_S / TICK_NS)
 APPLY_TICKS = round(APPLY_AFTER_S * NS_PER_S / TICK_NS)
+RETRY_TICKS = round(RETRY_AFTER_S * NS_PER_S / TICK_NS)
 DEATH_DETECTION_NS = 8 * NS_PER_S  # what membership takes to detect a death among some hundred members
 
 
@@ -154,6 +155,8 @@
                 self._report(member)
             if member.ticks % REPORT_TICKS == APPLY_TICKS:
                 self._apply(member)
+            if member.ticks % REPORT_TICKS == RETRY_TICKS:
+                self._send(member.number, member.exchange.retry_report(self.now))
 
     def _report(self, member: SimulatedMember) -> None:
         sampled_servers = self.random.sample(self.servers, min(self.samples_per_s, len(self.servers)))
--- a/tests/peers/test_aggregation.py
+++ b/tests/peers/test_aggregation.py
@@ -262,6 +262,17 @@
     ]
 
 
+def test_a_report_is_sent_again_also_to_an_aggregator_that_counts_as_unresponsive() -> None:
+    # Guards against a retry that misses the only reachable aggregator, as two lost datagrams retired it.
+    choice = AggregatorChoice(3, (100, 101))
+    first, second = choice.order
+    report_each_second(choice, {first, second}, {first, second}, range(1, 9))
+    report_each_second(choice, {second}, {first, second}, range(9, 12))
+    assert choice.chosen({first, second}.__contains__, 12 * S) == (second,)
+    assert choice.retry_targets({first, second}.__contains__, 12 * S) == [second, first]
+    assert choice.retry_targets({second}.__contains__, 12 * S) == [second]
+
+
 def test_two_aggregators_lost_at_once_cost_two_views() -> None:
     choice = AggregatorChoice(3, (100, 101, 102, 103))
     first, second, third, _ = choice.order
--- a/tests/simulation/test_aggregated_tier.py
+++ b/tests/simulation/test_aggregated_tier.py
@@ -88,6 +88,27 @@
     assert model.in_fallback() == 0
 
 
+def test_datagrams_lost_beside_a_dead_aggregator_bring_no_router_into_its_fallback() -> None:
+    # Guards against a living aggregator that is given up on, while the report due goes to the dead one alone.
+    model = tier(8, 2)
+    model.run(6.0)
+    dead, living = model.aggregators
+    lost: Counter[int] = Counter()
+
+    def lose_two_reports(sender: int, to: int, data: bytes) -> bytes | None:
+        if to != living or lost[sender] == 2:
+            return data
+        lost[sender] += 1
+        return None
+
+    model.alter = lose_two_reports
+    model.kill(dead)
+    model.run(8.0)
+    assert lost == dict.fromkeys(model.routers, 2)
+    clients = [member.exchange.client for member in model.members.values()]
+    assert sum(client.fallbacks for client in clients if client is not None) == 0
+
+
 def test_load_report_of_the_previous_version_is_accepted_and_a_forged_one_is_dropped() -> None:
     model = tier(4, 2)
     model.run(3.0)
