A shutdown goes on while a connection from the accept queue is being adopted

Callers saw their connections reset, with the requests on them, at a planned restart: a router that was held up for 0.15 s, over the time half a second after SIGTERM at which it closes its listener, lost what came meanwhile, if no other connection was open.

Cause: GracefulShutdown starts a task for each connection that it takes from the accept queue, and then counts the open connections. None is open until the task has run, so the process ended.

A shutdown now goes on while the process adopts connections, whoever passed them on.

--- a/holdgw/router/graceful_shutdown.py
+++ b/holdgw/router/graceful_shutdown.py
@@ -61,7 +61,10 @@
         """The link to the process that takes over clients' connections; None if they are to be closed."""
 
     def adopt_client(self, handover: ClientHandover | None, descriptor: int) -> None:
-        """Serve an accepted connection from which nothing has been read."""
+        """Start to serve an accepted connection from which nothing has been read."""
+
+    def adopting_count(self) -> int:
+        """The number of connections that `adopt_client` was called for and that are not served yet."""
 
 
 class GracefulShutdown:
@@ -112,7 +115,7 @@
         Returns once none is left, or at the time `until_s`. Even if that has passed, answers that were just
         written get one iteration of the event loop, in which they reach the kernel.
         """
-        while self._clients.connection_count:
+        while self._clients.connection_count or self._owner.adopting_count():
             link = self._owner.handover_link()
             if link is None:
                 self._clients.close_gracefully(even_mid_command=self._partial_wait_is_over())
--- a/holdgw/router/program.py
+++ b/holdgw/router/program.py
@@ -224,7 +224,7 @@
     def tables(self) -> dict[str, int]:
         """The number of entries in each of the router's tables, for tests that check for leaks."""
         return {
-            "adopting": len(self._adoptions),
+            "adopting": self.adopting_count(),
             "clients": self.clients.connection_count,
             "callers": self.admin_endpoint.connection_count,
             **self.dispatcher.tables(),
@@ -378,6 +378,10 @@
         self._adoptions[task] = None
         task.add_done_callback(self._adoption_ended)
 
+    def adopting_count(self) -> int:
+        """The number of connections that `adopt_client` was called for and that are not served yet."""
+        return len(self._adoptions)
+
     def _connect_client(
         self, handover: ClientHandover | None, descriptor: int, wait_ns: int
     ) -> Coroutine[Any, Any, None]:
--- a/tests/router/test_graceful_shutdown.py
+++ b/tests/router/test_graceful_shutdown.py
@@ -5,21 +5,32 @@
 import asyncio
 import os
 import signal
+import socket
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
 from holdgw.operation.process_link import ClientHandover
 from holdgw.policy import RequestClass
 from holdgw.router import program
-from holdgw.router.graceful_shutdown import GracefulShutdown, ShutdownSchedule
-from tests.emulated_nodes import LIMIT_S, Cache, DiscoveryServer, LoopbackRouter, entry, read, run
+from holdgw.router.graceful_shutdown import ACCEPT_AFTER_SIGTERM_S, GracefulShutdown, ShutdownSchedule
+from tests.emulated_nodes import (
+    HIT,
+    LIMIT_S,
+    SERVED,
+    Cache,
+    DiscoveryServer,
+    LoopbackRouter,
+    entry,
+    read,
+    run,
+)
 from tests.helpers import S, settings
 from tests.router.test_sockets import config_of
 
@@ -44,6 +55,11 @@
         return None
 
 
+async def answer_value(_: list[bytes]) -> bytes:
+    """A cache server's answer to any command."""
+    return HIT
+
+
 @asynccontextmanager
 async def silent_cache() -> AsyncIterator[SilentCache]:
     cache = SilentCache()
@@ -54,9 +70,16 @@
         cache.stop()
 
 
+class RunningProgram(NamedTuple):
+    """A router that serves clients at `address`; `task` ends as its process would."""
+
+    address: tuple[str, int]
+    task: asyncio.Task[None]
+
+
 @asynccontextmanager
-async def serving_program(cache: Cache, folder: Path) -> AsyncIterator[tuple[str, int]]:
-    """Run a whole router until the test ends it by SIGTERM; yields its address."""
+async def serving_program(cache: Cache, folder: Path) -> AsyncIterator[RunningProgram]:
+    """Run a whole router until the test ends it by SIGTERM."""
     agent = DiscoveryServer([entry("s1", cache.port)])
     await agent.start()
     request_class = RequestClass("read", latency_objective_ns=S // 2, deadline_ns=int(DEADLINE_S * S))
@@ -69,7 +92,7 @@
     router = asyncio.create_task(program.serve(config, listening))
     address = await asyncio.wait_for(listening, LIMIT_S)
     await asyncio.wait_for(agent.watched.wait(), LIMIT_S)
-    yield address
+    yield RunningProgram(address, router)
     await asyncio.wait_for(router, LIMIT_S)
     agent.stop()
 
@@ -89,8 +112,8 @@
     # Guards against a connection that is aborted at the process's end over a request that is open, and over
     # answers that wait behind it; also after a stall from before the last answers until after the end.
     async def test() -> None:
-        async with silent_cache() as cache, serving_program(cache, tmp_path) as address:
-            reader, writer = await open_request(address, cache)
+        async with silent_cache() as cache, serving_program(cache, tmp_path) as router:
+            reader, writer = await open_request(router.address, cache)
             sigterm_s = time.monotonic()
             os.kill(os.getpid(), signal.SIGTERM)
             await asyncio.sleep(SCHEDULE.partial_commands_until_s + 0.05)
@@ -110,8 +133,8 @@
 ) -> None:
     # Guards against requests that are taken during a shutdown and outlive the process.
     async def test() -> None:
-        async with silent_cache() as cache, serving_program(cache, tmp_path) as address:
-            reader, writer = await open_request(address, cache)
+        async with silent_cache() as cache, serving_program(cache, tmp_path) as router:
+            reader, writer = await open_request(router.address, cache)
             os.kill(os.getpid(), signal.SIGTERM)
             await asyncio.sleep(0.1)
             writer.write(read("later", wait=LONGEST_WAIT_MS))
@@ -122,6 +145,52 @@
     run(test)
 
 
+async def connect_during_a_stall(address: tuple[str, int], data: bytes, until_s: float) -> socket.socket:
+    """Connect and send `data` in a callback that stalls the event loop until `until_s`, monotonic seconds.
+
+    A reader's callback is the last step of an iteration, so timers that are due run before the listener.
+    """
+    loop = asyncio.get_running_loop()
+    connected: asyncio.Future[socket.socket] = loop.create_future()
+    trigger, triggered = socket.socketpair()
+
+    def connect() -> None:
+        loop.remove_reader(triggered)
+        client = socket.create_connection(address, LIMIT_S)
+        client.sendall(data)
+        client.setblocking(False)
+        time.sleep(until_s - time.monotonic())
+        connected.set_result(client)
+
+    loop.add_reader(triggered, connect)
+    trigger.send(b"x")
+    client = await connected
+    trigger.close()
+    triggered.close()
+    return client
+
+
+def test_a_connection_that_comes_while_the_process_is_held_up_is_served_though_no_other_is_open(
+    tmp_path: Path,
+) -> None:
+    # Guards against a process that ends over a connection taken from the accept queue and not adopted yet.
+    async def test() -> None:
+        cache = Cache(answer_value)
+        await cache.start()
+        async with serving_program(cache, tmp_path) as router:
+            stalled_until_s = time.monotonic() + ACCEPT_AFTER_SIGTERM_S + 0.05
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S - 0.1)
+            request = read("late", wait=DEADLINE_MS // 2)
+            with await connect_during_a_stall(router.address, request, stalled_until_s) as client:
+                answer = await asyncio.get_running_loop().sock_recv(client, 64)
+                assert answer == SERVED
+                assert not router.task.done()  # the event loop outlives it here, and would answer later
+        cache.stop()
+
+    run(test)
+
+
 class TakeoverOwner:
     """The owner of a router whose connections another process takes over."""
 
@@ -149,6 +218,9 @@
     def adopt_client(self, handover: ClientHandover | None, descriptor: int) -> None:
         raise NotImplementedError
 
+    def adopting_count(self) -> int:
+        return 0
+
 
 def test_what_is_open_at_the_end_of_an_upgrade_is_answered_and_its_connection_handed_over() -> None:
     # Guards against the old process of an upgrade ending over requests that it has taken.
