--- a/tests/router/test_graceful_shutdown.py
+++ b/tests/router/test_graceful_shutdown.py
@@ -19,7 +19,13 @@
 from holdgw.operation.process_link import ClientHandover
 from holdgw.policy import RequestClass
 from holdgw.router import program
-from holdgw.router.graceful_shutdown import ACCEPT_AFTER_SIGTERM_S, GracefulShutdown, ShutdownSchedule
+from holdgw.router.graceful_shutdown import (
+    ACCEPT_AFTER_SIGTERM_S,
+    KILL_SLACK_S,
+    POLL_INTERVAL_S,
+    GracefulShutdown,
+    ShutdownSchedule,
+)
 from tests.emulated_nodes import (
     HIT,
     LIMIT_S,
@@ -145,6 +151,35 @@
     run(test)
 
 
+async def hold_up(from_s: float, until_s: float) -> None:
+    """Stall the event loop from `from_s` until `until_s`, monotonic seconds."""
+    await asyncio.sleep(max(from_s - time.monotonic(), 0.0))
+    time.sleep(until_s - time.monotonic())
+
+
+def test_a_request_taken_between_two_polls_of_a_shutdown_is_answered_before_the_process_ends(
+    tmp_path: Path,
+) -> None:
+    # Guards against a request that is taken by one poll of the shutdown's clock and outlives another one.
+    async def test() -> None:
+        async with silent_cache() as cache, serving_program(cache, tmp_path) as router:
+            reader, writer = await asyncio.open_connection(*router.address)
+            writer.write(read("first", wait=DEADLINE_MS))
+            await asyncio.wait_for(cache.request_received.wait(), LIMIT_S)
+            os.kill(os.getpid(), signal.SIGTERM)
+            sigterm_s = time.monotonic()
+            partial_commands_until_s = sigterm_s + SCHEDULE.partial_commands_until_s
+            await hold_up(partial_commands_until_s - POLL_INTERVAL_S, partial_commands_until_s - 0.001)
+            await asyncio.sleep(0.4 * POLL_INTERVAL_S)
+            writer.write(b"".join(read(f"late{i}", wait=DEADLINE_MS) for i in range(5)))
+            end_by_s = sigterm_s + SCHEDULE.end_by_s
+            await hold_up(end_by_s - POLL_INTERVAL_S, end_by_s + 0.001)
+            assert await asyncio.wait_for(reader.read(), LIMIT_S) == 6 * REJECTED
+            writer.close()
+
+    run(test)
+
+
 async def connect_during_a_stall(address: tuple[str, int], data: bytes, until_s: float) -> socket.socket:
     """Connect and send `data` in a callback that stalls the event loop until `until_s`, monotonic seconds.
 
@@ -191,6 +226,23 @@
     run(test)
 
 
+def test_a_process_that_is_held_up_as_sigterm_comes_still_answers_before_it_would_be_killed(
+    tmp_path: Path,
+) -> None:
+    # Guards against a shutdown that counts its time from when it reads the signal: SIGKILL doesn't.
+    async def test() -> None:
+        async with silent_cache() as cache, serving_program(cache, tmp_path) as router:
+            reader, writer = await open_request(router.address, cache)
+            sigterm_s = time.monotonic()
+            os.kill(os.getpid(), signal.SIGTERM)
+            await hold_up(sigterm_s, sigterm_s + 0.3)
+            assert await asyncio.wait_for(reader.readexactly(len(FAILED)), LIMIT_S) == FAILED
+            assert time.monotonic() - sigterm_s < DEADLINE_S + KILL_SLACK_S
+            writer.close()
+
+    run(test)
+
+
 class TakeoverOwner:
     """The owner of a router whose connections another process takes over."""
 
