--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -221,7 +221,7 @@
     "drain-cuts": Mutant(
         "on SIGTERM connections with open requests are closed",
         "holdgw.router.graceful_shutdown",
-        "        while self._clients.connection_count:\n",
+        "        while self._clients.connection_count or self._owner.adopting_count():\n",
         "        while False:\n",
     ),
     "recent-unbounded": Mutant(
