Simulation: TCP, UDP, listeners, sockets and kernel calls in modules of their own

Listener and Socket are TcpListener and SimulatedSocket now, beside the router's ClientListener and the socket module; a listener asks is_reset in place of a private field.

--- a/holdgw/simulation/cores.py
+++ b/holdgw/simulation/cores.py
@@ -24,7 +24,8 @@
 from holdgw.router.config import Config, ConfigError, load_config
 from holdgw.simulation.fleet_run import RouterMain, SimulatedRouter
 from holdgw.simulation.process import Process
-from holdgw.simulation.transports import Listener, TcpTransport
+from holdgw.simulation.tcp_listener import TcpListener
+from holdgw.simulation.tcp_transport import TcpTransport
 from holdgw.simulation.world import NS_PER_MS, NS_PER_S
 
 WORKER_FAULT_INTERVAL_NS = (400 * NS_PER_MS, 2500 * NS_PER_MS)  # between faults of a router's workers
@@ -164,7 +165,7 @@
 class _SimulatedAcceptor:
     """The clients' listening socket. It always accepts: connections wait only in the supervisor."""
 
-    def __init__(self, listener: Listener) -> None:
+    def __init__(self, listener: TcpListener) -> None:
         self._listener = listener
         self.address = listener.address
 
--- a/holdgw/simulation/fleet_run.py
+++ b/holdgw/simulation/fleet_run.py
@@ -43,16 +43,16 @@
 from holdgw.simulation.determinism_guard import DeterminismGuard, NondeterminismError
 from holdgw.simulation.disk import Disk
 from holdgw.simulation.invariants import InvariantChecker
-from holdgw.simulation.network import Connection, Cut, Host, LinkConditions, Network
-from holdgw.simulation.process import Process
-from holdgw.simulation.trace import Trace
-from holdgw.simulation.transports import (
-    TcpTransport,
+from holdgw.simulation.kernel_calls import (
     has_pending_input,
     has_unread_input,
     peer_closed,
     unacknowledged_bytes,
 )
+from holdgw.simulation.network import Connection, Cut, Host, LinkConditions, Network
+from holdgw.simulation.process import Process
+from holdgw.simulation.tcp_transport import TcpTransport
+from holdgw.simulation.trace import Trace
 from holdgw.simulation.world import NS_PER_S, SpinError, World
 from holdgw.wire.address import Address, format_address
 
--- a/holdgw/simulation/network.py
+++ b/holdgw/simulation/network.py
@@ -16,7 +16,9 @@
 from holdgw.emulators.relay_model import RelayModel
 from holdgw.simulation.disk import Disk
 from holdgw.simulation.process import Process
-from holdgw.simulation.transports import Listener, TcpTransport, UdpTransport
+from holdgw.simulation.tcp_listener import TcpListener
+from holdgw.simulation.tcp_transport import TcpTransport
+from holdgw.simulation.udp_transport import UdpTransport
 from holdgw.simulation.world import NS_PER_S, World
 
 Address = tuple[str, int]
@@ -117,7 +119,7 @@
         self._link_delay = link_delay
         self._link_delays: dict[tuple[Host, Host], tuple[int, int]] = {}
         self._hosts: dict[str, Host] = {}
-        self._listeners: dict[Address, Listener] = {}
+        self._listeners: dict[Address, TcpListener] = {}
         self._endpoints: dict[Address, UdpTransport] = {}
         self._blocked: dict[tuple[Host, Host], int] = {}
         self._numbers = count(1)
@@ -243,7 +245,7 @@
         factory: Callable[[], asyncio.BaseProtocol],
         address: Address,
         backlog: int,
-    ) -> Listener:
+    ) -> TcpListener:
         """Open a listening socket; raises OSError as the kernel does."""
         ip, port = address
         if all(ip not in host.ips for host in process.listen_hosts):
@@ -253,17 +255,17 @@
             raise OSError(
                 98, f"error while attempting to bind on address {(ip, port)}: address already in use"
             )
-        listener = Listener(self, process, factory, (ip, port), backlog)
+        listener = TcpListener(self, process, factory, (ip, port), backlog)
         process.take_descriptor(listener)
         self._listeners[ip, port] = listener
         return listener
 
-    def unlisten(self, listener: Listener) -> None:
+    def unlisten(self, listener: TcpListener) -> None:
         """Release the address of a listening socket."""
         if self._listeners.get(listener.address) is listener:
             del self._listeners[listener.address]
 
-    def listener(self, address: Address) -> Listener | None:
+    def listener(self, address: Address) -> TcpListener | None:
         """Return the socket that listens on an address."""
         return self._listeners.get(address)
 
@@ -332,7 +334,7 @@
         at = self.arrival(server.host, client.host, SYN_RETRANSMISSION_TIMEOUT_NS)
         self.world.at(at, None, self._receive_syn_ack, (connection, listener, cut))
 
-    def _receive_syn_ack(self, connection: Connection, listener: Listener, cut: str) -> None:
+    def _receive_syn_ack(self, connection: Connection, listener: TcpListener, cut: str) -> None:
         """Receive the SYN-ACK: the client's end is established, and the server's once the ACK arrives."""
         client, server = connection.client, connection.server
         if client.socket_closed or client.host.silent:
--- a/holdgw/simulation/transports.py
+++ b/holdgw/simulation/tcp_transport.py
@@ -1,4 +1,4 @@
-"""asyncio transports over the simulated network, with the behaviour of uvloop on Linux.
+"""asyncio TCP transports over the simulated network, with the behaviour of uvloop on Linux.
 
 Each end of a connection has two halves. The program's half is the transport's methods and the calls into its
 protocol, which are made only while its process runs. The kernel's half receives segments, holds unread data,
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections import deque
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
+from holdgw.simulation.simulated_socket import SimulatedSocket
 from holdgw.simulation.world import Handle, World
 
 if TYPE_CHECKING:
@@ -22,7 +20,6 @@
     from holdgw.simulation.process import Process
 
 HIGH_WATER_BYTES = 64 << 10  # a transport pauses writing above this size of its own buffer
-ACCEPT_RETRY_NS = 100_000_000  # a process without a free descriptor retries accept after this time
 SEGMENT_BYTES = 1448  # payload of one TCP segment on an Ethernet
 MAX_TRACKED_SEGMENTS = 64  # segments in transit that a reset can still cancel
 DELAYED_SEGMENT_NS = 30_000_000  # a segment that takes longer is reported as delayed by the network
@@ -32,58 +29,6 @@
 MAX_READ_BYTES = 256 << 10  # uvloop reads this much at a time
 
 
-def peer_closed(transport: Any) -> bool:
-    """Whether the peer has closed or reset the connection; replaces the kernel call of `router.platform`."""
-    return isinstance(transport, TcpTransport) and transport.peer_closed
-
-
-def has_unread_input(transport: Any) -> bool:
-    """Whether received bytes are unread and no end follows them; replaces the call of `router.platform`."""
-    return isinstance(transport, TcpTransport) and transport.has_unread_input
-
-
-def has_pending_input(transport: Any) -> bool:
-    """Whether a read would return bytes or an end of the input; replaces the call of `router.platform`."""
-    return isinstance(transport, TcpTransport) and transport.has_pending_input
-
-
-def unacknowledged_bytes(transport: Any) -> int:
-    """The bytes sent that the peer has not read; replaces the kernel call of `router.platform`."""
-    return transport.unacknowledged_bytes if isinstance(transport, TcpTransport) else 0
-
-
-class Socket:
-    """The subset of the socket interface that the programs under test use."""
-
-    def __init__(self, name: Address, peer: Address | None = None) -> None:
-        self._name, self._peer = name, peer
-        self.resets = False  # whether closing the socket sends a reset
-
-    def getsockname(self) -> Address:
-        """Return the local address."""
-        return self._name
-
-    def getpeername(self) -> Address:
-        """Return the peer's address; raises OSError (ENOTCONN) where there is no peer."""
-        if self._peer is None:
-            raise OSError(107, "Transport endpoint is not connected")
-        return self._peer
-
-    def setsockopt(self, level: int, option: int, value: int | bytes) -> None:
-        """Apply SO_LINGER: with 0 s, closing sends a reset (socket(7)). Other options have no effect."""
-        if (level, option) == (socket.SOL_SOCKET, socket.SO_LINGER) and isinstance(value, bytes):
-            on, seconds = struct.unpack("ii", value)
-            self.resets = bool(on) and seconds == 0
-
-    def getsockopt(self, level: int, option: int, size: int = 0) -> bytes:
-        """Raise OSError (ENOPROTOOPT): no option can be read."""
-        raise OSError(92, "Protocol not available")
-
-    def fileno(self) -> int:
-        """Return -1: a simulated socket has no descriptor of the operating system."""
-        return -1
-
-
 class TcpTransport(asyncio.Transport):
     """One end of a TCP connection. Its `process` is None until a process accepts the connection."""
 
@@ -99,7 +44,7 @@
     ) -> None:
         self.network, self.process, self.host = network, process, host
         self.address, self.remote = address, remote
-        self.socket = Socket(address, remote)
+        self.socket = SimulatedSocket(address, remote)
         self._world: World = network.world
         self._protocol = cast("asyncio.Protocol | None", protocol)
         self._connect_waiter = connect_waiter
@@ -258,7 +203,7 @@
             if self._protocol is not None:
                 self._protocol.connection_lost(error)
         finally:
-            self._close_socket()
+            self.close_socket()
 
     def _pause_or_resume(self) -> None:
         size = len(self._buffer)
@@ -307,6 +252,11 @@
             return False
         return True
 
+    @property
+    def is_reset(self) -> bool:
+        """Whether the peer has reset the connection."""
+        return self._reset_received
+
     @property
     def peer_closed(self) -> bool:
         """Whether the other side has closed or reset the connection, as poll(2) reports it."""
@@ -469,7 +419,7 @@
         self._world.trace.add(self._world.now, self.host.name, "reset", self.label)
         if self.process is None:
             if not self.extra_descriptors:
-                self._close_socket()
+                self.close_socket()
         elif self._connect_waiter is not None and not self._established:
             self.connection_refused()
         elif self._closing:
@@ -522,21 +472,21 @@
         """Close one descriptor beside the process's own; closing the last of all closes the connection."""
         self.extra_descriptors -= 1
         if not self.extra_descriptors and self.process is None:
-            self._close_socket()
+            self.close_socket()
 
     def connection_refused(self) -> None:
         """Fail the connect call: no socket listens at the address."""
         if self.socket_closed or self._connect_waiter is None:
             return
         waiter, self._connect_waiter = self._connect_waiter, None
-        self._close_socket()
+        self.close_socket()
         self._world.soon(self.process, _fail_connect, (waiter, self.remote))
 
     def cancel_connect(self) -> None:
         """Close the socket of a connect call that was cancelled."""
         if not self._connection_lost_called and not self.socket_closed:
             self._closing = self._conn_lost = self._connection_lost_called = True
-            self._close_socket()
+            self.close_socket()
 
     def reset_after_reboot(self) -> None:
         """Forget the connection after the host's reboot, and answer data of the other end with a reset."""
@@ -549,9 +499,9 @@
         """Close the socket: the kernel closes what a dead process held."""
         self._buffer.clear()
         self._connection_lost_called = True
-        self._close_socket()
+        self.close_socket()
 
-    def _close_socket(self) -> None:
+    def close_socket(self) -> None:
         """Close the socket in the kernel: with a reset if data was left unread, else with a FIN."""
         if self.socket_closed:
             return
@@ -579,183 +529,3 @@
 def _fail_connect(waiter: asyncio.Future[None], remote: Address) -> None:
     if not waiter.done():
         waiter.set_exception(ConnectionRefusedError(111, f"Connect call failed {remote}"))
-
-
-class Listener(asyncio.AbstractServer):
-    """A listening socket and the asyncio server that accepts from it."""
-
-    def __init__(
-        self,
-        network: Network,
-        process: Process,
-        factory: Callable[[], asyncio.BaseProtocol],
-        address: Address,
-        backlog: int,
-    ) -> None:
-        self.network, self.process, self.address = network, process, address
-        self._socket = Socket(address)
-        self._factory, self._backlog = factory, backlog
-        self._pending: dict[Connection, None] = {}
-        self._open = True
-        self._closed: list[asyncio.Future[None]] = []
-
-    @property
-    def sockets(self) -> tuple[Socket, ...]:
-        """The listening socket while it is open, else empty."""
-        return (self._socket,) if self._open else ()
-
-    @property
-    def is_full(self) -> bool:
-        """Whether the backlog is full of connections that no process has accepted."""
-        return len(self._pending) >= self._backlog
-
-    def add_pending(self, connection: Connection) -> None:
-        """Add a connection that is being established to the backlog."""
-        self._pending[connection] = None
-
-    def remove_pending(self, connection: Connection) -> None:
-        """Take a connection out of the backlog."""
-        self._pending.pop(connection, None)
-
-    def connection_established(self, connection: Connection) -> None:
-        """Have the process accept a connection that is established."""
-        if not self._open:
-            if connection in self._pending:
-                self.remove_pending(connection)
-            return
-        self.network.world.soon(self.process, self._accept, (connection,))
-
-    def _accept(self, connection: Connection) -> None:
-        end = connection.server
-        if not self._open or connection not in self._pending:
-            return
-        if end._reset_received or end.socket_closed:
-            self.remove_pending(connection)
-            return
-        try:
-            self.process.take_descriptor(end)
-        except OSError:
-            # The connection stays in the backlog until the process tries again.
-            self.network.world.at(
-                self.network.world.now + ACCEPT_RETRY_NS, self.process, self._accept, (connection,)
-            )
-            return
-        self.remove_pending(connection)
-        self.network.world.trace.add(self.network.world.now, self.process.name, "accept", connection.label)
-        end.attach_process(self.process, self._factory())
-
-    def get_loop(self) -> asyncio.AbstractEventLoop:
-        """Return the process's event loop."""
-        return self.process.loop
-
-    def is_serving(self) -> bool:
-        """Whether the socket listens."""
-        return self._open
-
-    async def start_serving(self) -> None:
-        """Do nothing: the socket listens from its creation on."""
-
-    async def serve_forever(self) -> None:
-        """Wait until the task is cancelled, then close."""
-        try:
-            await self.process.loop.create_future()
-        finally:
-            self.close()
-
-    def close(self) -> None:
-        """Stop listening; connections that no process has accepted are reset."""
-        if not self._open:
-            return
-        self._open = False
-        self.network.unlisten(self)
-        self.process.free_descriptor(self)
-        pending, self._pending = self._pending, {}
-        for connection in pending:
-            if not self.process.host.silent:
-                connection.server.socket.resets = True
-            connection.server._close_socket()
-        for waiter in self._closed:
-            if not waiter.done():
-                waiter.set_result(None)
-
-    def process_died(self) -> None:
-        """Close the socket, as the kernel does."""
-        self._closed.clear()
-        self.close()
-
-    async def wait_closed(self) -> None:
-        """Wait until the socket is closed."""
-        if self._open:
-            waiter = self.process.loop.create_future()
-            self._closed.append(waiter)
-            await waiter
-
-
-class UdpTransport(asyncio.DatagramTransport):
-    """The transport of a UDP socket, bound to a local address and, with `remote`, connected."""
-
-    def __init__(
-        self,
-        network: Network,
-        process: Process,
-        address: Address,
-        remote: Address | None,
-        protocol: asyncio.DatagramProtocol,
-    ) -> None:
-        self.network, self.process, self.address, self.remote = network, process, address, remote
-        self._protocol, self._closing = protocol, False
-        self.socket = Socket(address, remote)
-
-    def get_extra_info(self, name: str, default: Any = None) -> Any:
-        """Return the socket, or the local or the peer's address."""
-        return {"socket": self.socket, "sockname": self.address, "peername": self.remote}.get(name, default)
-
-    def get_protocol(self) -> asyncio.BaseProtocol:
-        """Return the protocol."""
-        return self._protocol
-
-    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
-        """Replace the protocol."""
-        self._protocol = cast(asyncio.DatagramProtocol, protocol)
-
-    def is_closing(self) -> bool:
-        """Whether the socket is closed."""
-        return self._closing
-
-    def sendto(self, data: bytes | bytearray | memoryview, addr: Any = None) -> None:
-        """Send one datagram; raises ValueError without an address, or with another than the connected one."""
-        to = addr or self.remote
-        if to is None:
-            raise ValueError("no address to send to")
-        if self.remote is not None and addr not in (None, self.remote):
-            raise ValueError(f"Invalid address: must be None or {self.remote}")
-        if not self._closing and data:
-            self.network.send_datagram(self, bytes(data), (to[0], to[1]))
-
-    def receive_datagram(self, data: bytes, sender: Address) -> None:
-        """Pass a received datagram to the protocol."""
-        if not self._closing and (self.remote is None or self.remote == sender):
-            self._protocol.datagram_received(data, sender)
-
-    def receive_port_unreachable(self) -> None:
-        """Report that the destination port is closed; only a connected socket learns of it."""
-        if not self._closing and self.remote is not None:
-            self._protocol.error_received(ConnectionRefusedError(111, "Connection refused"))
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._closing:
-            return
-        self._closing = True
-        self.network.unbind(self)
-        self.process.free_descriptor(self)
-        self.network.world.soon(self.process, self._protocol.connection_lost, (None,))
-
-    def abort(self) -> None:
-        """Close the socket."""
-        self.close()
-
-    def process_died(self) -> None:
-        """Close the socket, as the kernel does."""
-        self._closing = True
-        self.network.unbind(self)
