Rehearsals: emulators listen where outgoing connections take no port

It is a fault of the test harness, no router had part in it.

Cause: the hub worker runs the origin, which that test closes for a while and opens again at the port that it had. On 127.0.0.1 the kernel gives any outgoing connection a free port of 32768 to 60999, also that of a listener that is closed; other tests run beside. Who had the port was not recorded.

Emulators now listen at an address of the run's own, as its routers already do; connections to it leave from 127.0.0.1, which the new test asserts.

--- a/holdgw/harness/orchestrator.py
+++ b/holdgw/harness/orchestrator.py
@@ -41,6 +41,7 @@
 from holdgw.harness.checker import History
 from holdgw.harness.deployment import Peers, configuration
 from holdgw.harness.fault_injection import WORKER_TIMEOUT_S, FaultInjector, HarnessError
+from holdgw.harness.loopback import aggregator_ip, emulator_ip, router_ip
 from holdgw.harness.routers import (
     PING_INTERVAL_S,
     READY_S,
@@ -336,7 +337,7 @@
                 self.relay = worker
             else:
                 self.client_workers.append(worker)
-            setup = Setup(role, index, count, worker.name, scenario, self.schedule.seed, "127.0.0.1")
+            setup = Setup(role, index, count, worker.name, scenario, self.schedule.seed, emulator_ip())
             ready = worker.ready()
             await worker.start(setup, environment)
             self._tasks.add(asyncio.ensure_future(self._register_worker(worker, ready, role)))
@@ -354,24 +355,21 @@
             self.discovery = {name: (host, port) for name, (host, port) in reply.items()}
 
     async def _start_routers(self, scenario: Scenario, folder: Path) -> None:
-        high, low = 64 + os.getpid() % 128, os.getpid() // 128 % 250
         for i, name in enumerate(router_names(scenario.fleet)):
-            # Each router has an IP address of its own, on which the kernel picks no port for other processes'
-            # outgoing connections, so that a restarted router finds its port free.
-            address = free_address(f"127.{high}.{low + i // 200}.{10 + i % 200}")
+            address = free_address(router_ip(i))
             self.routers[name] = RouterProcess(
                 name, self._command, self._root, folder, address, CLOCK, self._router_cores
             )
         if scenario.peers.allowed:
-            self._create_aggregators(scenario, folder, f"127.{high}.{low + len(self.routers) // 200}")
+            self._create_aggregators(scenario, folder)
             await self._join_peers()
         await asyncio.gather(*(self.start_aggregator(one) for one in self.aggregators.values()))
         await asyncio.gather(*(self.start_router(router) for router in self.routers.values()))
         self.announce_routers()
 
-    def _create_aggregators(self, scenario: Scenario, folder: Path, net: str) -> None:
+    def _create_aggregators(self, scenario: Scenario, folder: Path) -> None:
         for i, name in enumerate(member_names(scenario)[len(self.routers) :]):
-            address = free_address(f"{net}.{230 + i}")
+            address = free_address(aggregator_ip(i, len(self.routers)))
             self.aggregators[name] = RouterProcess(
                 name, AGGREGATOR_COMMAND, self._root, folder, address, CLOCK, self._router_cores
             )
--- a/tests/harness/test_harness.py
+++ b/tests/harness/test_harness.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -23,7 +24,8 @@
 from holdgw.emulators.records import Attempt
 from holdgw.harness.deployment import DeployError, run_command
 from holdgw.harness.html_report import nice_step, render
-from holdgw.harness.orchestrator import HarnessError, RunResult, play
+from holdgw.harness.loopback import emulator_ip
+from holdgw.harness.orchestrator import HarnessError, Orchestrator, RunResult, play
 from holdgw.harness.report import Report, make_report
 from holdgw.harness.routers import free_address
 from holdgw.harness.scenario import read_scenario
@@ -436,6 +438,27 @@
     assert [nice_step(most) for most in (0, 0.9, 4, 37, 1000)] == [1.0, 0.5, 1, 10, 500]
 
 
+def test_emulators_listen_where_no_outgoing_connection_takes_their_port_while_they_are_closed() -> None:
+    # Guards against an emulator that can't listen again at the end of its outage.
+    orchestrators: list[Orchestrator] = []
+    schedule = draw_schedule(read_scenario(small(length=1.0), "test"), 1)
+
+    def progress(orchestrator: Orchestrator, _at: float) -> None:
+        orchestrators[:] = [orchestrator]
+
+    uvloop.run(asyncio.wait_for(play(schedule, ROUTER, ROOT, progress), LIMIT_S))
+    (orchestrator,) = orchestrators
+    by_link = [*orchestrator.addresses.values(), orchestrator.discovery]
+    listening_ips = {ip for addresses in by_link for ip, _ in addresses.values()}
+    with (
+        socket.create_server((emulator_ip(), 0)) as server,
+        socket.create_connection(server.getsockname()) as client,
+    ):
+        outgoing_ip = client.getsockname()[0]
+    assert listening_ips == {emulator_ip()}
+    assert outgoing_ip not in listening_ips
+
+
 def test_address_that_is_already_reserved_is_not_returned_again() -> None:
     """A reserved port is free until its listener binds it, and the kernel may pick it a second time."""
 
