--- a/holdgw/router/client_listener.py
+++ b/holdgw/router/client_listener.py
@@ -159,14 +159,27 @@
         self.lingering.pop(connection, None)
         self.end_hold(connection)
 
-    def may_hold(self, connection: ClientConnection, size_bytes: int) -> bool:
-        """Whether a connection may hold a streamed answer back: its memory is reserved until `end_hold`."""
-        if connection in self.holding:
-            return True
-        if not self.waiting_memory.reserve(size_bytes):
-            return False
-        self.holding[connection] = size_bytes
-        return True
+    def reserve_hold(self, connection: ClientConnection, wanted_bytes: int) -> int:
+        """Reserve memory for an answer that is held back, until it is written; returns the bytes reserved.
+
+        It gets as much as it leaves free: a few long values must not take the memory of others' answers.
+        """
+        reserved_bytes = self.holding.get(connection, 0)
+        if not reserved_bytes:
+            reserved_bytes = min(wanted_bytes, self.waiting_memory.free_bytes // 2)
+            if reserved_bytes:
+                self.waiting_memory.hold(reserved_bytes)
+                self.holding[connection] = reserved_bytes
+        return reserved_bytes
+
+    def shrink_hold(self, connection: ClientConnection, needed_bytes: int) -> None:
+        """Release the memory that a connection has reserved for a held answer beyond `needed_bytes`."""
+        reserved_bytes = self.holding.get(connection, 0)
+        if not needed_bytes:
+            self.end_hold(connection)
+        elif needed_bytes < reserved_bytes:
+            self.waiting_memory.release(reserved_bytes - needed_bytes)
+            self.holding[connection] = needed_bytes
 
     def end_hold(self, connection: ClientConnection) -> None:
         """Release the memory that a connection has reserved for its streamed answer, if any."""
--- a/holdgw/router/memory_budget.py
+++ b/holdgw/router/memory_budget.py
@@ -11,6 +11,11 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
 
+    @property
+    def free_bytes(self) -> int:
+        """The bytes that are left; 0 if the holders are beyond the limit."""
+        return max(self.limit_bytes - self.held_bytes, 0)
+
     def reserve(self, size_bytes: int, headroom_bytes: int = 0) -> bool:
         """Hold bytes if they fit; returns whether they do.
 
--- a/holdgw/router/reply.py
+++ b/holdgw/router/reply.py
@@ -11,12 +11,10 @@
 if TYPE_CHECKING:
     from holdgw.router.client_connection import ClientConnection
 
+VALUE_END = b"\r\n"
+"""What follows a value in its answer."""
 MAX_UNSENT_BYTES = 64 << 10
 """Unsent bytes of answers to a client above which its commands and streamed values are not read."""
-MAX_HELD_BYTES = 512 << 10
-"""The most of a streamed value that is held back while commands behind it wait for their answers."""
-
-
 STOPPED_AFTER_S = 0.25
 """A value counts as stopped if no part of it has arrived for this time."""
 HOLD_CHECK_INTERVAL_S = 0.05
@@ -50,16 +48,17 @@
 
     If a value breaks off after its first part is written, its connection has to be closed, and the commands
     behind it get no answer. While there are such commands the answer is therefore held back, for a limited
-    time and up to `MAX_HELD_BYTES`: a value that breaks off meanwhile, or stops for good, becomes an error.
+    time and as far as the listener has memory for it (`ClientListener.reserve_hold`): a value that breaks off
+    meanwhile, or stops for good, becomes an error.
     """
 
     __slots__ = (
         "complete",
         "give_up_at_s",
-        "hold_bytes",
         "hold_timer",
         "hold_until_s",
         "last_part_at_s",
+        "size_bytes",
         "source",
         "started",
         "unwritten",
@@ -72,8 +71,8 @@
         self.unwritten = deque((head,))
         self.unwritten_bytes = len(head)
         self.source = source
-        self.hold_bytes = min(length, MAX_HELD_BYTES)
-        """The memory that the answer takes while it is held back."""
+        self.size_bytes = len(head) + length + len(VALUE_END)
+        """The size of the whole answer, encoded."""
         self.hold_until_s = now_s + times.hold_s
         self.give_up_at_s = now_s + times.give_up_s
         self.last_part_at_s = now_s
@@ -93,9 +92,8 @@
             not (self.started or self.complete)
             and len(connection.replies) > 1
             and connection.replies[0].streamed is self
-            and self.unwritten_bytes <= MAX_HELD_BYTES
             and self._has_time(connection.listener.loop.time())
-            and connection.listener.may_hold(connection, self.hold_bytes)
+            and self.unwritten_bytes <= connection.listener.reserve_hold(connection, self.size_bytes)
         )
 
     def _has_time(self, now_s: float) -> bool:
@@ -116,12 +114,12 @@
                 self.hold_timer = loop.call_at(self.hold_until_s, self._check_hold, connection)
             self.source.resume()  # it was paused if the answer had to wait for its turn
             return False
-        connection.listener.end_hold(connection)
         while self.unwritten and not connection.write_blocked:
             self.started = True
             part = self.unwritten.popleft()
             self.unwritten_bytes -= len(part)
             transport.write(part)
+        connection.listener.shrink_hold(connection, self.unwritten_bytes)
         if connection.write_blocked:
             return False
         if not self.complete:
@@ -214,10 +212,10 @@
         if self.connection.write_blocked or (is_above_limit and not self.streamed.is_held(self.connection)):
             self.streamed.source.pause()
 
-    def end_stream(self, tail: bytes) -> None:
-        """Append the last part of the streamed answer."""
+    def end_stream(self) -> None:
+        """End the streamed answer: all parts of its value were appended."""
         assert self.streamed is not None
-        self.streamed.append(tail, self._now_s())
+        self.streamed.append(VALUE_END, self._now_s())
         self.streamed.complete = True
         self.connection.flush()
 
--- a/holdgw/router/streamed_value.py
+++ b/holdgw/router/streamed_value.py
@@ -8,7 +8,7 @@
 from holdgw.router.exchange import Exchange
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.open_request import OpenRequest
-from holdgw.router.reply import MAX_HELD_BYTES, MAX_UNSENT_BYTES, HoldTimes
+from holdgw.router.reply import MAX_UNSENT_BYTES, HoldTimes
 from holdgw.router.timer_wheel import Timer
 
 STREAM_STALL_NS = 8 * NS_PER_S
@@ -16,18 +16,17 @@
 MAX_WAITING_BYTES = 2 * MAX_UNSENT_BYTES
 """What is read of a value while its answer waits for an earlier one: up to a limit, and one more part."""
 MAX_HOLD_FRACTION = 0.9
-"""Fraction of the time until the request's deadline for which a value is held back that fits in the hold."""
-MAX_PARTIAL_HOLD_S = 0.5
-"""Longest time for which a longer value is held back; clients take 2 s without its rest for a loss."""
-MAX_PARTIAL_HOLD_FRACTION = 0.5
-"""The same, as a fraction of the time until the request's deadline."""
+"""Fraction of the time until the request's deadline for which a value is held back at most."""
+REST_TIMEOUT_S = 2.0
+"""A client takes a long value for lost if its rest is held back for this time."""
+MAX_PROCESS_STALL_S = 0.15
+"""Longest time for which the machine may hold up this process."""
+MAX_HOLD_S = REST_TIMEOUT_S - MAX_PROCESS_STALL_S
 
 
-def hold_times(length: int, remaining_s: float) -> HoldTimes:
-    """How long a value of `length` bytes is held back if `remaining_s` seconds are left for its request."""
-    if length <= MAX_HELD_BYTES:
-        return HoldTimes(remaining_s * MAX_HOLD_FRACTION, remaining_s)
-    return HoldTimes(min(remaining_s * MAX_PARTIAL_HOLD_FRACTION, MAX_PARTIAL_HOLD_S), remaining_s)
+def hold_times(remaining_s: float) -> HoldTimes:
+    """How long a value is held back if `remaining_s` seconds are left for its request."""
+    return HoldTimes(min(remaining_s * MAX_HOLD_FRACTION, MAX_HOLD_S), remaining_s)
 
 
 class StreamedValue:
@@ -53,7 +52,7 @@
             self._drop_value()
             return
         remaining_s = max(request.deadline_ns - self.started_ns, 0) / NS_PER_S
-        request.reply.start_stream(length, self, hold_times(length, remaining_s))
+        request.reply.start_stream(length, self, hold_times(remaining_s))
 
     def _drop_value(self) -> None:
         """Answer without the value, for which there is no memory, and abandon the attempt."""
@@ -76,7 +75,7 @@
         # behind the value would then stay unread, and the attempt would not end.
         self.resume()
         if self._detach(Disposition.SUCCEEDED):
-            self._request.reply.end_stream(b"\r\n")
+            self._request.reply.end_stream()
 
     def abort_if_incomplete(self) -> None:
         """End the stream with its attempt; an incomplete value is made recognisable to the client."""
