A value that breaks off after its client got a part is completed by another endpoint

What callers saw: commands behind a long value were lost with their connection where no hold could cover the value: sent once its head was written, longer than the memory for it, or broken off after the hold.

Cause: Reply.abort_stream can only close once a part is written, as the client would read the next answer as the rest of the value. PROTOCOL counts a request as taken once its last byte is written, so reading no further frees nobody.

Fix: the connection needs not end where the value can be finished. The request goes back to the policy, which sends a further attempt by its usual rules, to the next-ranked endpoint. Length and a digest of what was passed on are compared with the second value; if equal, its rest completes the answer, so the client has exactly what the second endpoint made. Else the connection closes, as before. Without commands behind it, it also closes after 1.85 s: a value whose rest is held back for 2 s is lost, one that ends early has failed. Each outcome has a log line and a count (lb_broken_values).

--- a/holdgw/native.py
+++ b/holdgw/native.py
@@ -50,6 +50,7 @@
     "policy/units.py",
     "policy/warm_up.py",
     "router/attempt.py",
+    "router/begun_value.py",
     "router/cache_connection.py",
     "router/client_connection.py",
     "router/client_input.py",
--- a/holdgw/operation/metrics.py
+++ b/holdgw/operation/metrics.py
@@ -22,6 +22,17 @@
     """Failed."""
 
 
+class BrokenValueOutcome(Enum):
+    """What became of a streamed value that broke off after its client got a part of it."""
+
+    RESUMED = "resumed"
+    """Another endpoint's value completed the answer."""
+    DIFFERED = "differed"
+    """Another endpoint's value was not the same, and the client's connection was closed."""
+    ABANDONED = "abandoned"
+    """No other endpoint gave the value in time, and the client's connection was closed."""
+
+
 class PeerMetrics(NamedTuple):
     """The metrics of a router as a member of the membership."""
 
@@ -45,6 +56,7 @@
         self.results = {(name, disposition): 0 for name in classes for disposition in Disposition}
         self.forwards = 0
         """Attempts written completely to endpoints, the origin included."""
+        self.broken_values = dict.fromkeys(BrokenValueOutcome, 0)
         self.reloads_applied = 0
         self.reloads_rejected = 0
         self.disabled_features = tuple(disabled_features)
@@ -87,6 +99,8 @@
         lines += _metric("outstanding", "gauge", outstanding)
         lines += _metric("discovered", "gauge", discovered)
         lines += _metric("ejected", "gauge", ejected)
+        broken_values = {outcome.value: count for outcome, count in self.broken_values.items()}
+        lines += _labelled("broken_values", "counter", "outcome", broken_values)
         lines += _metric("sighup_applied", "counter", self.reloads_applied)
         lines += _metric("sighup_rejected", "counter", self.reloads_rejected)
         if peers is not None:
--- a/holdgw/policy/actions.py
+++ b/holdgw/policy/actions.py
@@ -16,6 +16,8 @@
     """A retry at another endpoint, because the previous one failed."""
     SAME_ENDPOINT = "again"
     """A retry at the same endpoint, because the previous attempt was lost in transit."""
+    RESUME = "resume"
+    """A read of a value that broke off at another endpoint after the client got a part of it."""
     TRIAL = "trial"
     """A trial request, which finds out whether an ejected endpoint has recovered."""
     FETCH = "fetch"
--- a/holdgw/policy/events.py
+++ b/holdgw/policy/events.py
@@ -110,6 +110,8 @@
     """Whether the request was the first on its connection, and so took longer whatever the load."""
     response_started: bool = False
     """Whether part of an answer had arrived, so the attempt ran."""
+    value_broke_off: bool = False
+    """Whether its value broke off after the client got a part, which only the same value can complete."""
     idle_connections_closed: bool = False
     """With CONNECT_FAILED only: whether the endpoint closed its idle connections, and none was made since."""
 
--- a/holdgw/policy/pending_request.py
+++ b/holdgw/policy/pending_request.py
@@ -41,6 +41,7 @@
         self.is_streaming = False  # whether the answer of the attempt in flight has begun
         self.failed_endpoints: list[TrackedEndpoint] = []
         self.retried_after_loss = False  # a loss in transit is retried once
+        self.has_begun_value = False  # its client has a part of a value that broke off
         self.first_run_endpoint: TrackedEndpoint | None = None  # of the first attempt that may have run
         self.first_run_at_ns = 0  # when the first attempt that may have run was sent
 
@@ -58,6 +59,8 @@
             return AttemptPurpose.WRITE if self.is_write else AttemptPurpose.FETCH
         if endpoint.ejected:
             return AttemptPurpose.TRIAL
+        if self.has_begun_value:
+            return AttemptPurpose.RESUME
         if self.attempts == 1:
             return AttemptPurpose.FIRST
         if endpoint is self.endpoint:
--- a/holdgw/policy/retry_policy.py
+++ b/holdgw/policy/retry_policy.py
@@ -197,7 +197,12 @@
         of a write. Retries after quick breaks are bounded by the number of attempts and by the ejection of
         the endpoint; any other loss is retried once. An endpoint that breaks connections because it is
         overloaded gets a read up to four times, until six consecutive resets eject it.
+
+        A value that broke off after its client got a part is read from the next-ranked endpoint: the same one
+        may break it off at the same byte, and there is seldom time for a third reading.
         """
+        if event.value_broke_off and not was_at_origin:
+            return NextStep.NEXT_ENDPOINT
         if event.outcome is Outcome.MISS and not was_at_origin and self._fetches_misses:
             return NextStep.FETCH
         if loss is Loss.QUICK_BREAK:
--- a/holdgw/policy/routing_policy.py
+++ b/holdgw/policy/routing_policy.py
@@ -422,6 +422,7 @@
         if not request.is_streaming:
             endpoint.release_attempt()
         request.end_attempt(may_have_run=not outcome.has_no_effect)
+        request.has_begun_value = request.has_begun_value or event.value_broke_off
         if outcome.is_good_answer:
             loss = Loss.NONE
             self._record_good_answer(request, endpoint, event, was_at_origin)
--- a/holdgw/router/attempt.py
+++ b/holdgw/router/attempt.py
@@ -9,7 +9,7 @@
 from holdgw.router.exchange import Exchange
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.open_request import OpenRequest
-from holdgw.router.streamed_value import StreamedValue
+from holdgw.router.streamed_value import StreamedValue, complete_begun_value
 from holdgw.router.timer_wheel import Timer
 from holdgw.wire.address import Address
 from holdgw.wire.unread import NS_PER_MS
@@ -40,6 +40,7 @@
         self._written_ns = 0  # 0: not written yet
         self._remaining_ms = 0  # the timeout sent to the endpoint, set just before the write
         self._streamed: StreamedValue | None = None
+        self._value_broke_off = False  # and another attempt may complete it
         self._timeout_timer: Timer | None = None
         self._write_timer: Timer | None = None
         self._write_by_ns = 0  # 0: no limit but the request's deadline
@@ -131,7 +132,7 @@
         """Send the first successful answer to the client, and report every end to the routing policy."""
         self._cancel_timers()
         if self._streamed is not None:
-            self._streamed.abort_if_incomplete()
+            self._value_broke_off = self._streamed.attempt_ended(outcome)
         request = self._request
         request.attempts_in_flight -= 1
         if outcome is Outcome.OK and not request.answered and value is not None:
@@ -145,6 +146,9 @@
     def _answer_client(self, value: bytes) -> None:
         request = self._request
         request.answered = True
+        if request.begun_value is not None:
+            complete_begun_value(self._owner, request, request.begun_value, value)
+            return
         if not request.reply.reserve(len(value), can_drop=request.is_read):
             error = self._owner.answer_without_value(request.class_name)
             self._owner.metrics.count_answer(request.class_name, error.disposition)
@@ -172,6 +176,7 @@
             queued_ns=(self._written_ns or now_ns) - self._created_ns,
             first_on_connection=self.first_on_connection,
             response_started=self.response_started,
+            value_broke_off=self._value_broke_off,
             idle_connections_closed=outcome is Outcome.CONNECT_FAILED
             and self._owner.idle_connections_closed(self._endpoint_id),
         )
--- a/holdgw/router/client_connection.py
+++ b/holdgw/router/client_connection.py
@@ -247,6 +247,13 @@
             or self.listener.unacknowledged_bytes(self.transport) > 0
         )
 
+    @property
+    def has_commands_behind(self) -> bool:
+        """Whether commands are read, or lie unread, behind the one whose answer is written next."""
+        if len(self.replies) > 1 or self.input_queued or self._reader.has_partial_command:
+            return True
+        return self.transport is not None and self.listener.has_unread_input(self.transport)
+
     @property
     def is_idle(self) -> bool:
         """Whether no command is unanswered or partly received."""
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -52,6 +52,7 @@
 from holdgw.router.reply import Reply
 from holdgw.router.request_memory import DEFAULT_MAX_REQUEST_BYTES, RequestMemory
 from holdgw.router.stall_log import StallLog
+from holdgw.router.streamed_value import abandon_value
 from holdgw.router.timer_wheel import TimerWheel
 from holdgw.router.turn_budget import MAX_SHARE_NS
 from holdgw.router.turn_share import TurnShare
@@ -329,11 +330,15 @@
 
     def _answer(self, request_id: str, data: bytes, disposition: Disposition) -> None:
         request = self.open_requests.by_id.get(request_id)
-        if request is not None and not request.answered:
-            request.answered = True
-            self.metrics.count_answer(request.class_name, disposition)
-            request.reply.send(data)
-            self.open_requests.release_if_done(request)
+        if request is None or request.answered:
+            return
+        if request.begun_value is not None:
+            abandon_value(self, request)
+            return
+        request.answered = True
+        self.metrics.count_answer(request.class_name, disposition)
+        request.reply.send(data)
+        self.open_requests.release_if_done(request)
 
     # Overdue requests
 
@@ -388,6 +393,11 @@
         is_idempotent = self._classes[class_name].idempotency is Idempotency.IDEMPOTENT
         return REJECTION if is_idempotent else FAILURE
 
+    def may_resume_value(self, request: OpenRequest) -> bool:
+        """Whether another attempt could complete the request's value if it breaks off."""
+        idempotency = self._classes[request.class_name].idempotency
+        return request.is_read and idempotency is not Idempotency.NOT_IDEMPOTENT
+
     def idle_connections_closed(self, endpoint_id: str) -> bool:
         """Whether the endpoint has closed an idle connection, and none has been opened since."""
         return self._pool.idle_connections_closed(endpoint_id)
--- a/holdgw/router/exchange_owner.py
+++ b/holdgw/router/exchange_owner.py
@@ -9,7 +9,7 @@
 from holdgw.operation.metrics import Metrics
 from holdgw.policy import Event, Settings
 from holdgw.router.error_answers import ErrorAnswer
-from holdgw.router.open_request import OpenRequestTable
+from holdgw.router.open_request import OpenRequest, OpenRequestTable
 from holdgw.router.timer_wheel import TimerWheel
 
 
@@ -55,6 +55,10 @@
     def answer_without_value(self, class_name: str) -> ErrorAnswer:
         """The answer to a request that ran and whose value can't be kept."""
 
+    @abstractmethod
+    def may_resume_value(self, request: OpenRequest) -> bool:
+        """Whether another attempt could complete the request's value if it breaks off."""
+
     @abstractmethod
     def idle_connections_closed(self, endpoint_id: str) -> bool:
         """Whether the endpoint has closed an idle connection, and none has been opened since."""
--- a/holdgw/router/open_request.py
+++ b/holdgw/router/open_request.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from holdgw.router.attempt import Attempt
+    from holdgw.router.begun_value import BegunValue
     from holdgw.router.streamed_value import StreamedValue
 
 
@@ -24,6 +25,7 @@
         "arrived_ns",
         "attempts",
         "attempts_in_flight",
+        "begun_value",
         "class_name",
         "command",
         "deadline_ns",
@@ -46,10 +48,12 @@
         self.attempts = 0
         self.attempts_in_flight = 0
         self.answered = False
-        """Whether the answer is sent, or started if it is streamed, or the client has disconnected."""
+        """Whether the answer is sent, or is being streamed, or the client has disconnected."""
         self.last_attempt: Attempt | None = None
         self.stream: StreamedValue | None = None
         """The long value that is being streamed as the answer."""
+        self.begun_value: BegunValue | None = None
+        """What is passed on of a streamed value that another endpoint could complete if it breaks off."""
 
     @property
     def is_read(self) -> bool:
--- a/holdgw/router/reply.py
+++ b/holdgw/router/reply.py
@@ -199,6 +199,16 @@
         self.streamed = StreamedAnswer(length, source, times, self._now_s())
         self.connection.flush()
 
+    def resume_stream(self, source: StreamSource) -> None:
+        """Continue a streamed answer from another source: the first one can't complete it."""
+        assert self.streamed is not None
+        self.streamed.source = source
+
+    @property
+    def delays_others(self) -> bool:
+        """Whether commands wait behind this one, or are arriving."""
+        return self.connection.has_commands_behind
+
     def _now_s(self) -> float:
         return self.connection.listener.loop.time()
 
--- a/holdgw/router/streamed_value.py
+++ b/holdgw/router/streamed_value.py
@@ -1,14 +1,22 @@
-"""A value too long to buffer, streamed to the client as its endpoint sends it."""
+"""A value too long to buffer, streamed to the client as its endpoint sends it.
+
+A value that breaks off after its client got a part may be completed by another attempt (`begun_value`). The
+client would read any other answer as the rest of the value, so its connection is closed if that fails, and
+the commands behind the value get no answer.
+"""
 
 from __future__ import annotations
 
-from holdgw.operation.metrics import Disposition
+import logging
+
+from holdgw.operation.metrics import BrokenValueOutcome, Disposition
 from holdgw.policy import NS_PER_S, Outcome
+from holdgw.router.begun_value import BeginningCheck, BegunValue, ValueDiffersError
 from holdgw.router.error_answers import FAILED
 from holdgw.router.exchange import Exchange
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.open_request import OpenRequest
-from holdgw.router.reply import MAX_UNSENT_BYTES, HoldTimes
+from holdgw.router.reply import MAX_UNSENT_BYTES, VALUE_END, HoldTimes
 from holdgw.router.timer_wheel import Timer
 
 STREAM_STALL_NS = 8 * NS_PER_S
@@ -22,6 +30,11 @@
 MAX_PROCESS_STALL_S = 0.15
 """Longest time for which the machine may hold up this process."""
 MAX_HOLD_S = REST_TIMEOUT_S - MAX_PROCESS_STALL_S
+MAX_HOLD_NS = int(MAX_HOLD_S * NS_PER_S)
+BREAK_OUTCOMES = (Outcome.RESET, Outcome.MALFORMED, Outcome.TIMEOUT)
+"""The ends of an attempt after which another one may complete its value."""
+
+log = logging.getLogger("holdgw")
 
 
 def hold_times(remaining_s: float) -> HoldTimes:
@@ -39,6 +52,7 @@
         self._owner = owner
         self._exchange = exchange
         self._request = request
+        self._check: BeginningCheck | None = None  # of a value that completes a begun one
         self.started_ns = owner.now_ns()
         self._progress_ns = self.started_ns  # when the last part arrived
         self._stall_timer: Timer = owner.timer_wheel.call_at(
@@ -46,14 +60,33 @@
         )
 
     def start_answer(self, length: int) -> None:
-        """Start the client's answer with a value of `length` bytes."""
+        """Start the client's answer with a value of `length` bytes, or resume a begun one."""
         request = self._request
+        if request.begun_value is not None:
+            self._resume_answer(request.begun_value, length)
+            return
+        if self._owner.may_resume_value(request):
+            request.begun_value = BegunValue(length)
         if not request.reply.reserve(min(length, MAX_WAITING_BYTES), can_drop=request.is_read):
             self._drop_value()
             return
         remaining_s = max(request.deadline_ns - self.started_ns, 0) / NS_PER_S
         request.reply.start_stream(length, self, hold_times(remaining_s))
 
+    def _resume_answer(self, begun: BegunValue, length: int) -> None:
+        try:
+            self._check = BeginningCheck(begun, length)
+        except ValueDiffersError:
+            self._value_differs()
+        else:
+            self._request.reply.resume_stream(self)
+
+    def _value_differs(self) -> None:
+        """Close the client's connection, as this value can't complete the begun one; abandon the attempt."""
+        self._request.stream = None
+        abandon_value(self._owner, self._request, BrokenValueOutcome.DIFFERED)
+        self._exchange.abandon(Outcome.CANCELLED)
+
     def _drop_value(self) -> None:
         """Answer without the value, for which there is no memory, and abandon the attempt."""
         request = self._request
@@ -66,9 +99,25 @@
     def write(self, data: bytes) -> None:
         """Forward a part of the value, unless the client has disconnected."""
         self._progress_ns = self._owner.now_ns()
-        if self._request.stream is self:
+        if self._request.stream is self and self._check is not None:
+            data = self._skip_beginning(self._check, data)
+        if self._request.stream is self and data:
+            if self._request.begun_value is not None:
+                self._request.begun_value.add(data)
             self._request.reply.write_part(data)
 
+    def _skip_beginning(self, check: BeginningCheck, data: bytes) -> bytes:
+        """Return what of a part lies behind the begun value; abandon the attempt if the value differs."""
+        try:
+            rest = check.feed(data)
+        except ValueDiffersError:
+            self._value_differs()
+            return b""
+        if check.is_complete:
+            self._check = None
+            count_resumed(self._owner, self._request)
+        return rest
+
     def complete(self) -> None:
         """End the client's answer; the last part has arrived."""
         # If the endpoint's connection is paused for the client, nothing else may ever resume it. The bytes
@@ -77,11 +126,54 @@
         if self._detach(Disposition.SUCCEEDED):
             self._request.reply.end_stream()
 
-    def abort_if_incomplete(self) -> None:
-        """End the stream with its attempt; an incomplete value is made recognisable to the client."""
+    def attempt_ended(self, outcome: Outcome) -> bool:
+        """End the stream with its attempt; returns whether its value broke off and another may complete it.
+
+        Otherwise an incomplete value is made recognisable to the client.
+        """
         self.cancel_timer()
-        if self._detach(Disposition.ABORTED):
-            self._request.reply.abort_stream(FAILED)
+        request = self._request
+        if request.stream is not self:
+            return False
+        if self._may_be_resumed(outcome):
+            self._await_resumption(outcome)
+            return True
+        self._detach(Disposition.ABORTED)
+        request.reply.abort_stream(FAILED)
+        return False
+
+    def _may_be_resumed(self, outcome: Outcome) -> bool:
+        request = self._request
+        is_begun = request.begun_value is not None and request.reply.stream_started
+        return is_begun and outcome in BREAK_OUTCOMES
+
+    def _await_resumption(self, outcome: Outcome) -> None:
+        """Leave the answer to further attempts: the request has no final answer any more."""
+        request = self._request
+        begun = request.begun_value
+        assert begun is not None
+        log.info(
+            "streamed value broke off class=%s outcome=%s passed_bytes=%d length=%d",
+            request.class_name,
+            outcome.value,
+            begun.passed_bytes,
+            begun.length,
+        )
+        request.stream = None
+        request.answered = False
+        if begun.resume_timer is None:
+            due_ns = self._owner.now_ns() + MAX_HOLD_NS
+            begun.resume_timer = self._owner.timer_wheel.call_at(due_ns, self._resumption_overdue)
+
+    def _resumption_overdue(self) -> None:
+        """Close the connection if no other command is behind the value.
+
+        The client takes a value whose rest is held back for this long for lost, but one that ends early for
+        failed only. The commands behind the value would be lost with their connection.
+        """
+        request = self._request
+        if not (request.reply.connection.closed or request.reply.delays_others):
+            abandon_value(self._owner, request)
 
     def client_disconnected(self) -> None:
         """Abandon the attempt: the client does not take the rest of the value."""
@@ -127,3 +219,49 @@
             self.give_up()
         else:
             self._stall_timer = self._owner.timer_wheel.call_at(due_ns, self._check_progress)
+
+
+def count_resumed(owner: ExchangeOwner, request: OpenRequest) -> None:
+    """Note that another endpoint's value is the begun one, whose rest it completes."""
+    _cancel_resume_timer(request)
+    owner.metrics.broken_values[BrokenValueOutcome.RESUMED] += 1
+    log.info("streamed value resumed class=%s", request.class_name)
+
+
+def abandon_value(
+    owner: ExchangeOwner,
+    request: OpenRequest,
+    outcome: BrokenValueOutcome = BrokenValueOutcome.ABANDONED,
+) -> None:
+    """Close the connection of a client whose begun value is not completed."""
+    _cancel_resume_timer(request)
+    request.answered = True
+    owner.metrics.broken_values[outcome] += 1
+    owner.metrics.count_answer(request.class_name, Disposition.ABORTED)
+    log.warning("streamed value not completed class=%s reason=%s", request.class_name, outcome.value)
+    request.reply.abort_stream(FAILED)
+    owner.open_requests.release_if_done(request)
+
+
+def complete_begun_value(
+    owner: ExchangeOwner, request: OpenRequest, begun: BegunValue, answer: bytes
+) -> None:
+    """Complete a begun value by `answer`, a bulk string; close the client's connection if it differs."""
+    value = answer.partition(VALUE_END)[2]
+    try:
+        check = BeginningCheck(begun, len(value) - len(VALUE_END))
+        rest = check.feed(value[: -len(VALUE_END)])
+    except ValueDiffersError:
+        abandon_value(owner, request, BrokenValueOutcome.DIFFERED)
+        return
+    count_resumed(owner, request)
+    owner.metrics.count_answer(request.class_name, Disposition.SUCCEEDED)
+    request.reply.write_part(rest)
+    request.reply.end_stream()
+
+
+def _cancel_resume_timer(request: OpenRequest) -> None:
+    begun = request.begun_value
+    if begun is not None and begun.resume_timer is not None:
+        begun.resume_timer.cancel()
+        begun.resume_timer = None
