A stall of the router itself is not held against its endpoints

What callers saw: after the process was held up for 0.46 s, up to 50 of 100 requests got -BUSY with 0.4 s left.

Cause, traced by the policy's events with a cache server on a thread of its own: answers that lay in the socket counted as late by the stall's length (latency 474 ms; admission probability 1.0 to 0.12 within six answers), and 25 attempts that waited for a connection came to their attempt timeout in the stall; each of their retries was rejected (reason server). Without the stall none.

Fix: the lag monitor sums up what exceeds the interval of its beats. The event of an attempt's end tells latency and waiting time without it, and an attempt timeout that comes due is put off by it, up to the request's deadline. It works as both figures now say what the endpoint did. Checked: an attempt whose answer stays out is still retried after a stall.

--- a/holdgw/policy/events.py
+++ b/holdgw/policy/events.py
@@ -100,7 +100,7 @@
     request_answered: bool
     """Whether the request has its final answer already."""
     latency_ns: int
-    """Since `SendAttempt`; includes `queued_ns`."""
+    """Since `SendAttempt`, without the time for which the router was held up; includes `queued_ns`."""
     cache_status: CacheStatus | None = None
     load_report: tuple[float, ...] | None = None
     """The endpoint's load report, in the order of `Settings.load_report_fields`."""
--- a/holdgw/router/attempt.py
+++ b/holdgw/router/attempt.py
@@ -37,11 +37,15 @@
         self._purpose = purpose
         self._number = request.attempts
         self._created_ns = owner.now_ns()
+        self._lag_when_created_ns = owner.total_lag_ns(self._created_ns)
+        self._lag_while_queued_ns = 0
         self._written_ns = 0  # 0: not written yet
         self._remaining_ms = 0  # the timeout sent to the endpoint, set just before the write
         self._streamed: StreamedValue | None = None
+        self._lag_until_streamed_ns = 0
         self._value_broke_off = False  # and another attempt may complete it
         self._timeout_timer: Timer | None = None
+        self._timeout_due_ns = 0  # without the time for which this process was held up
         self._write_timer: Timer | None = None
         self._write_by_ns = 0  # 0: no limit but the request's deadline
         request.last_attempt = self
@@ -49,7 +53,12 @@
         request.attempts_in_flight += 1
 
     def time_out_at(self, due_ns: int) -> None:
-        """Abandon the attempt at the time `due_ns`, written or not."""
+        """Abandon the attempt at the time `due_ns`, written or not.
+
+        It gets more time, up to its request's deadline, if this process is held up meanwhile: its answer may
+        lie unread, or the attempt may wait for a connection with an unread answer.
+        """
+        self._timeout_due_ns = due_ns
         self._timeout_timer = self._owner.timer_wheel.call_at(due_ns, self._timed_out)
 
     def write_by(self, due_ns: int) -> None:
@@ -62,7 +71,16 @@
             self.abandon(Outcome.CONNECT_FAILED)
 
     def _timed_out(self) -> None:
-        self.abandon(Outcome.TIMEOUT)
+        now_ns = self._owner.now_ns()
+        due_ns = min(self._timeout_due_ns + self._lag_ns(now_ns), self._request.deadline_ns)
+        if now_ns < due_ns:
+            self._timeout_timer = self._owner.timer_wheel.call_at(due_ns, self._timed_out)
+        else:
+            self.abandon(Outcome.TIMEOUT)
+
+    def _lag_ns(self, now_ns: int) -> int:
+        """For how long this process was held up since the attempt was created."""
+        return self._owner.total_lag_ns(now_ns) - self._lag_when_created_ns
 
     def cancel(self) -> None:
         """Cancel the attempt unless it is written already."""
@@ -90,6 +108,7 @@
         """Encode the client's command with the time that remains until its deadline."""
         command = self._request.command
         self._written_ns = self._owner.now_ns()
+        self._lag_while_queued_ns = self._lag_ns(self._written_ns)
         if self._to_origin:
             return origin_protocol.encode_request(command, self._remaining_ms, address)
         return command.encode_with_timeout(self._remaining_ms)
@@ -106,6 +125,7 @@
             return
         self._cancel_timers()
         streamed = StreamedValue(self._owner, self, request)
+        self._lag_until_streamed_ns = self._lag_ns(streamed.started_ns)
         self._streamed = streamed
         request.answered = True
         request.stream = streamed
@@ -162,18 +182,21 @@
     def _end_event(
         self, outcome: Outcome, cache_status: CacheStatus | None, report: bytes | None
     ) -> AttemptEnded:
+        # What the router's own lag adds says nothing of the endpoint.
         now_ns = self._owner.now_ns()
         answered_ns = now_ns if self._streamed is None else self._streamed.started_ns
+        lag_ns = self._lag_ns(now_ns) if self._streamed is None else self._lag_until_streamed_ns
+        lag_while_queued_ns = self._lag_while_queued_ns if self._written_ns else lag_ns
         return AttemptEnded(
             self._request.id,
             self._number,
             self._endpoint_id,
             outcome,
             self._request.answered,
-            latency_ns=answered_ns - self._created_ns,
+            latency_ns=max(answered_ns - self._created_ns - lag_ns, 0),
             cache_status=cache_status,
             load_report=self._owner.parse_load_report(report) if self._owner.uses_load_reports else None,
-            queued_ns=(self._written_ns or now_ns) - self._created_ns,
+            queued_ns=max((self._written_ns or now_ns) - self._created_ns - lag_while_queued_ns, 0),
             first_on_connection=self.first_on_connection,
             response_started=self.response_started,
             value_broke_off=self._value_broke_off,
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -393,6 +393,10 @@
         is_idempotent = self._classes[class_name].idempotency is Idempotency.IDEMPOTENT
         return REJECTION if is_idempotent else FAILURE
 
+    def total_lag_ns(self, now_ns: int) -> int:
+        """For how long this process was held up until the time `now_ns`, nanoseconds."""
+        return self._lag_monitor.total_lag_ns(now_ns)
+
     def may_resume_value(self, request: OpenRequest) -> bool:
         """Whether another attempt could complete the request's value if it breaks off."""
         idempotency = self._classes[request.class_name].idempotency
--- a/holdgw/router/event_loop_lag.py
+++ b/holdgw/router/event_loop_lag.py
@@ -22,7 +22,9 @@
 
     def __init__(self, interval_ns: int, now_ns: int) -> None:
         """`interval_ns`: the time between two beats."""
+        self._interval_ns = interval_ns
         self._max_gap_ns = interval_ns + MAX_BEAT_DELAY_NS
+        self._total_lag_ns = 0
         self._last_beat_ns = now_ns
         self._previous_beat_ns = now_ns
         self._lag_ended_ns = now_ns - RECENT_LAG_NS
@@ -35,8 +37,15 @@
         if gap_ns <= self._max_gap_ns:
             return 0
         self._lag_ended_ns = now_ns
+        self._total_lag_ns += gap_ns - self._interval_ns
         return gap_ns
 
+    def total_lag_ns(self, now_ns: int) -> int:
+        """The length of all lags so far, with one that no beat has ended yet, in nanoseconds."""
+        gap_ns = now_ns - self._last_beat_ns
+        current_lag_ns = gap_ns - self._interval_ns if gap_ns > self._max_gap_ns else 0
+        return self._total_lag_ns + current_lag_ns
+
     def lagged_recently(self, now_ns: int) -> bool:
         """Whether a lag ended within RECENT_LAG_NS; if so, ask the kernel when bytes arrived."""
         return now_ns - self._lag_ended_ns < RECENT_LAG_NS
--- a/holdgw/router/exchange_owner.py
+++ b/holdgw/router/exchange_owner.py
@@ -55,6 +55,10 @@
     def answer_without_value(self, class_name: str) -> ErrorAnswer:
         """The answer to a request that ran and whose value can't be kept."""
 
+    @abstractmethod
+    def total_lag_ns(self, now_ns: int) -> int:
+        """For how long this process was held up until the time `now_ns`, nanoseconds."""
+
     @abstractmethod
     def may_resume_value(self, request: OpenRequest) -> bool:
         """Whether another attempt could complete the request's value if it breaks off."""
