--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -72,6 +72,15 @@
     gc.freeze()
 
 
+@pytest.hookimpl(tryfirst=True)
+def pytest_runtest_setup() -> None:
+    """Collect the garbage of earlier tests before a test, whose requests would time out meanwhile.
+
+    Simulations leave up to a million objects, whose collection took 0.55 s within a later test of sockets.
+    """
+    gc.collect()
+
+
 def known_failure_cause(item: pytest.Item, call: pytest.CallInfo[None]) -> str | None:
     """Return the listed cause if the test failed by the assertion that its line names, else None."""
     if call.when != "call" or call.excinfo is None or not call.excinfo.errisinstance(AssertionError):
