A value that falls silent is read from another endpoint for the commands behind it

A server that hangs amid a value held up the commands behind it for 8 s, and then their connection was closed.

After 1.85 s without a part, if commands wait behind a begun value, its attempt is given up and it is read from another endpoint as one that broke off.

Of the five new cases the one that resumes and the policy's failed before, those that must not resume passed before and pass now.

--- a/holdgw/policy/routing_policy.py
+++ b/holdgw/policy/routing_policy.py
@@ -33,7 +33,7 @@
 from holdgw.policy.pending_request import PendingRequest
 from holdgw.policy.rejections import RejectionReason, Rejections
 from holdgw.policy.retry_policy import Loss, NextStep, RetryPolicy
-from holdgw.policy.settings import Settings, Tenant
+from holdgw.policy.settings import Idempotency, Settings, Tenant
 from holdgw.policy.slot_table import SLOTS, SlotTable
 from holdgw.policy.slow_start import SlowStart
 from holdgw.policy.tracked_endpoint import TrackedEndpoint
@@ -147,6 +147,20 @@
             "lean": sum(endpoint.slot_retention < 1.0 for endpoint in endpoints),
         }
 
+    def has_alternative(self, request_id: str, now: int) -> bool:
+        """Whether a request whose attempt has begun to answer could be read from another endpoint as well."""
+        request = self._requests.get(request_id)
+        if request is None or request.is_answered or request.is_at_origin or request.is_write:
+            return False
+        if request.request_class.idempotency is not Idempotency.IDEMPOTENT:
+            return False
+        if not self._retries.may_attempt(request, now):
+            return False
+        used = (request.endpoint, *request.failed_endpoints)
+        caches = self._caches.rank(request.slot, now)
+        has_other_cache = any(not (endpoint in used or endpoint.ejected) for endpoint in caches)
+        return has_other_cache or bool(self._origins.endpoints)
+
     def table_sizes(self) -> TableSizes:
         """Return the numbers of entries in the policy's tables."""
         return TableSizes(len(self._requests), len(self._fetches), len(self._origin_concurrency))
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -402,6 +402,10 @@
         idempotency = self._classes[request.class_name].idempotency
         return request.is_read and idempotency is not Idempotency.NOT_IDEMPOTENT
 
+    def has_alternative(self, request: OpenRequest) -> bool:
+        """Whether another endpoint could complete the request's value right now."""
+        return self._policy.has_alternative(request.id, self.now_ns())
+
     def idle_connections_closed(self, endpoint_id: str) -> bool:
         """Whether the endpoint has closed an idle connection, and none has been opened since."""
         return self._pool.idle_connections_closed(endpoint_id)
--- a/holdgw/router/exchange_owner.py
+++ b/holdgw/router/exchange_owner.py
@@ -63,6 +63,10 @@
     def may_resume_value(self, request: OpenRequest) -> bool:
         """Whether another attempt could complete the request's value if it breaks off."""
 
+    @abstractmethod
+    def has_alternative(self, request: OpenRequest) -> bool:
+        """Whether another endpoint could complete the request's value right now."""
+
     @abstractmethod
     def idle_connections_closed(self, endpoint_id: str) -> bool:
         """Whether the endpoint has closed an idle connection, and none has been opened since."""
--- a/holdgw/router/streamed_value.py
+++ b/holdgw/router/streamed_value.py
@@ -56,7 +56,7 @@
         self.started_ns = owner.now_ns()
         self._progress_ns = self.started_ns  # when the last part arrived
         self._stall_timer: Timer = owner.timer_wheel.call_at(
-            self.started_ns + STREAM_STALL_NS, self._check_progress
+            self.started_ns + MAX_HOLD_NS, self._check_progress
         )
 
     def start_answer(self, length: int) -> None:
@@ -214,11 +214,23 @@
         connection = self._exchange.connection
         if connection is not None and connection.reading_paused:
             self._progress_ns = now_ns  # the client is slow; its connection has a timeout of its own
-        due_ns = self._progress_ns + STREAM_STALL_NS
-        if now_ns >= due_ns:
+        silent_ns = now_ns - self._progress_ns
+        if silent_ns >= STREAM_STALL_NS or (silent_ns >= MAX_HOLD_NS and self._should_be_resumed()):
             self.give_up()
-        else:
-            self._stall_timer = self._owner.timer_wheel.call_at(due_ns, self._check_progress)
+            return
+        timeout_ns = MAX_HOLD_NS if silent_ns < MAX_HOLD_NS else STREAM_STALL_NS
+        self._stall_timer = self._owner.timer_wheel.call_at(
+            self._progress_ns + timeout_ns, self._check_progress
+        )
+
+    def _should_be_resumed(self) -> bool:
+        """Whether a silent value is better read from another endpoint.
+
+        Its client takes it for lost by now, and the commands behind it wait.
+        """
+        request = self._request
+        is_begun = request.begun_value is not None and request.reply.stream_started
+        return is_begun and request.reply.delays_others and self._owner.has_alternative(request)
 
 
 def count_resumed(owner: ExchangeOwner, request: OpenRequest) -> None:
--- a/tests/router/test_resumed_values.py
+++ b/tests/router/test_resumed_values.py
@@ -402,6 +402,43 @@
     run(test)
 
 
+@pytest.mark.sources_only
+@pytest.mark.parametrize("caches", [1, 3])
+@pytest.mark.parametrize("commands_behind", [0, 1])
+def test_a_value_that_falls_silent_is_read_from_another_endpoint_for_the_commands_behind_it(
+    commands_behind: int, caches: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against commands that wait for a server that hangs amid a value. A server that may still give the
+    # rest is not given up on where no other could, nor where nobody waits behind the value.
+    monkeypatch.setattr(streamed_value, "MAX_HOLD_NS", 200 * MS)
+
+    async def test() -> None:
+        goes_on = asyncio.Event()
+
+        async def falls_silent(writer: Writer) -> bool:
+            writer.write(header() + VALUE[:130_000])
+            await goes_on.wait()
+            writer.write(VALUE[130_000:] + TAIL)
+            return True
+
+        async with ResumingSetup(falls_silent, whole(), caches=caches) as setup:
+            setup.send("long")
+            assert await setup.read(1) == b"$"
+            setup.send(*("behind",) * commands_behind)
+            is_resumed = caches > 1 and commands_behind > 0
+            if not is_resumed:
+                await asyncio.sleep(0.5)
+                assert len(setup.plan.attempts) == 1
+                goes_on.set()
+            assert await setup.read(len(HEAD) - 1 + SIZE + 2) == HEAD[1:] + VALUE + b"\r\n"
+            assert await setup.read(commands_behind * len(SHORT)) == commands_behind * SHORT
+            assert len(setup.plan.attempts) == 1 + is_resumed
+            goes_on.set()
+            await setup.until_idle()
+
+    run(test)
+
+
 def test_the_end_of_a_shutdown_closes_a_connection_whose_value_is_being_read_again() -> None:
     async def test() -> None:
         never = asyncio.Event()
@@ -550,3 +587,18 @@
     policy.handle(StreamStarted("a", 2), 4)
     assert len(finals(policy.handle(broke_off(send), 4))) == 1
     assert len(set(used)) == 3
+
+
+def test_a_silent_value_has_an_alternative_only_where_another_endpoint_may_be_sent_the_request() -> None:
+    for endpoints, has_origin, cls, now, expected in (
+        (2, False, "read", 2, True),
+        (1, True, "read", 2, True),
+        (1, False, "read", 2, False),
+        (2, False, "edit", 2, False),
+        (2, False, "read", S, False),
+    ):
+        policy = started(settings(), fleet(endpoints), origin=has_origin)
+        only_send(policy.handle(request("a", cls=cls, is_write=False), 0))
+        policy.handle(StreamStarted("a", 0), 1)
+        assert policy.has_alternative("a", now) is expected
+    assert not policy.has_alternative("unknown", 2)
