--- a/tests/router/test_resumed_values.py
+++ b/tests/router/test_resumed_values.py
@@ -204,6 +204,23 @@
     run(test)
 
 
+def test_an_answer_cut_off_behind_its_complete_value_is_not_read_again() -> None:
+    async def test() -> None:
+        async def cut_off(writer: Writer) -> bool:
+            writer.write(header() + VALUE + TAIL[:4])
+            return False
+
+        async with ResumingSetup(cut_off, whole()) as setup:
+            setup.send("long", "behind")
+            assert await setup.read_value() == VALUE
+            assert await setup.read(len(SHORT)) == SHORT
+            await setup.until_idle()
+            assert len(setup.plan.attempts) == 1
+            assert 'succeeded"} 2' in setup.metrics
+
+    run(test)
+
+
 def test_values_that_no_memory_holds_are_completed_by_another_endpoint() -> None:
     # Guards against requests lost behind values that memory doesn't hold, on many connections.
     async def test() -> None:
