A client that leaves as its value breaks off gets no further attempt; a module split

StreamedValue._can_be_resumed asks all of this in one place now. The outcomes of a broken value moved to router/value_resumption.py.

--- a/holdgw/native.py
+++ b/holdgw/native.py
@@ -81,6 +81,7 @@
     "router/timer_wheel.py",
     "router/turn_budget.py",
     "router/turn_share.py",
+    "router/value_resumption.py",
     "router/write_progress.py",
     "wire/resp.py",
 )
--- a/holdgw/router/attempt.py
+++ b/holdgw/router/attempt.py
@@ -9,8 +9,9 @@
 from holdgw.router.exchange import Exchange
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.open_request import OpenRequest
-from holdgw.router.streamed_value import StreamedValue, complete_begun_value
+from holdgw.router.streamed_value import StreamedValue
 from holdgw.router.timer_wheel import Timer
+from holdgw.router.value_resumption import complete_begun_value
 from holdgw.wire.address import Address
 from holdgw.wire.unread import NS_PER_MS
 
--- a/holdgw/router/dispatcher.py
+++ b/holdgw/router/dispatcher.py
@@ -52,10 +52,10 @@
 from holdgw.router.reply import Reply
 from holdgw.router.request_memory import DEFAULT_MAX_REQUEST_BYTES, RequestMemory
 from holdgw.router.stall_log import StallLog
-from holdgw.router.streamed_value import abandon_value
 from holdgw.router.timer_wheel import TimerWheel
 from holdgw.router.turn_budget import MAX_SHARE_NS
 from holdgw.router.turn_share import TurnShare
+from holdgw.router.value_resumption import abandon_value
 from holdgw.wire import resp
 from holdgw.wire.resp import Command
 from holdgw.wire.unread import NS_PER_MS
--- a/holdgw/router/streamed_value.py
+++ b/holdgw/router/streamed_value.py
@@ -16,8 +16,9 @@
 from holdgw.router.exchange import Exchange
 from holdgw.router.exchange_owner import ExchangeOwner
 from holdgw.router.open_request import OpenRequest
-from holdgw.router.reply import MAX_UNSENT_BYTES, VALUE_END, HoldTimes
+from holdgw.router.reply import MAX_UNSENT_BYTES, HoldTimes
 from holdgw.router.timer_wheel import Timer
+from holdgw.router.value_resumption import abandon_value, count_resumed
 
 STREAM_STALL_NS = 8 * NS_PER_S
 """Longest pause within a value before its endpoint counts as stalled."""
@@ -132,20 +133,19 @@
         Otherwise an incomplete value is made recognisable to the client.
         """
         self.cancel_timer()
-        request = self._request
-        if request.stream is not self:
-            return False
-        if self._may_be_resumed(outcome):
+        if outcome in BREAK_OUTCOMES and self._can_be_resumed():
             self._await_resumption(outcome)
             return True
-        self._detach(Disposition.ABORTED)
-        request.reply.abort_stream(FAILED)
+        if self._detach(Disposition.ABORTED):
+            self._request.reply.abort_stream(FAILED)
         return False
 
-    def _may_be_resumed(self, outcome: Outcome) -> bool:
+    def _can_be_resumed(self) -> bool:
+        """Whether a connected client has a part of this value, whose rest other attempts may give."""
         request = self._request
-        is_begun = request.begun_value is not None and request.reply.stream_started
-        return is_begun and outcome in BREAK_OUTCOMES
+        if request.stream is not self or request.begun_value is None:
+            return False
+        return request.reply.stream_started and not request.reply.connection.closed
 
     def _await_resumption(self, outcome: Outcome) -> None:
         """Leave the answer to further attempts: the request has no final answer any more."""
@@ -229,51 +229,4 @@
         Its client takes it for lost by now, and the commands behind it wait.
         """
         request = self._request
-        is_begun = request.begun_value is not None and request.reply.stream_started
-        return is_begun and request.reply.delays_others and self._owner.has_alternative(request)
-
-
-def count_resumed(owner: ExchangeOwner, request: OpenRequest) -> None:
-    """Note that another endpoint's value is the begun one, whose rest it completes."""
-    _cancel_resume_timer(request)
-    owner.metrics.broken_values[BrokenValueOutcome.RESUMED] += 1
-    log.info("streamed value resumed class=%s", request.class_name)
-
-
-def abandon_value(
-    owner: ExchangeOwner,
-    request: OpenRequest,
-    outcome: BrokenValueOutcome = BrokenValueOutcome.ABANDONED,
-) -> None:
-    """Close the connection of a client whose begun value is not completed."""
-    _cancel_resume_timer(request)
-    request.answered = True
-    owner.metrics.broken_values[outcome] += 1
-    owner.metrics.count_answer(request.class_name, Disposition.ABORTED)
-    log.warning("streamed value not completed class=%s reason=%s", request.class_name, outcome.value)
-    request.reply.abort_stream(FAILED)
-    owner.open_requests.release_if_done(request)
-
-
-def complete_begun_value(
-    owner: ExchangeOwner, request: OpenRequest, begun: BegunValue, answer: bytes
-) -> None:
-    """Complete a begun value by `answer`, a bulk string; close the client's connection if it differs."""
-    value = answer.partition(VALUE_END)[2]
-    try:
-        check = BeginningCheck(begun, len(value) - len(VALUE_END))
-        rest = check.feed(value[: -len(VALUE_END)])
-    except ValueDiffersError:
-        abandon_value(owner, request, BrokenValueOutcome.DIFFERED)
-        return
-    count_resumed(owner, request)
-    owner.metrics.count_answer(request.class_name, Disposition.SUCCEEDED)
-    request.reply.write_part(rest)
-    request.reply.end_stream()
-
-
-def _cancel_resume_timer(request: OpenRequest) -> None:
-    begun = request.begun_value
-    if begun is not None and begun.resume_timer is not None:
-        begun.resume_timer.cancel()
-        begun.resume_timer = None
+        return self._can_be_resumed() and request.reply.delays_others and self._owner.has_alternative(request)
--- a/tests/router/test_resumed_values.py
+++ b/tests/router/test_resumed_values.py
@@ -21,6 +21,7 @@
 )
 from holdgw.router import streamed_value
 from holdgw.router.begun_value import BeginningCheck, BegunValue, ValueDiffersError
+from holdgw.router.connection_close import CloseCause
 from tests.emulated_nodes import LIMIT_S, MISS, LoopbackRouter, LoopbackServer, entry, read, run, until
 from tests.helpers import MS, S, ended, finals, fleet, only_send, request, sends, settings, started
 
@@ -345,6 +346,55 @@
     run(test)
 
 
+def test_no_attempt_begins_for_a_client_whose_value_breaks_off_in_the_turn_in_which_it_leaves() -> None:
+    # Guards against a request that is open again, though it is about to be cancelled.
+    async def test() -> None:
+        never = asyncio.Event()
+        async with ResumingSetup(breaks_after(130_000, allowed=never), whole()) as setup:
+            setup.send("long")
+            await setup.read(1)
+            (client,) = setup.router.clients.connections
+            (endpoint,) = (pool for pool in setup.router.pool._endpoints.values() if pool.streaming)
+            (connection,) = endpoint.streaming
+            client.abort(CloseCause.CLIENT_LEFT)
+            connection.connection_lost(None)
+            assert not setup.router.dispatcher.outstanding
+            await setup.until_idle()
+            assert len(setup.plan.attempts) == 1
+            never.set()
+
+    run(test)
+
+
+@pytest.mark.sources_only
+def test_an_answer_whose_end_stays_out_behind_its_complete_value_is_not_read_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(streamed_value, "MAX_HOLD_NS", 200 * MS)
+
+    async def test() -> None:
+        late = asyncio.Event()
+
+        async def ends_late(writer: Writer) -> bool:
+            writer.write(header() + VALUE + TAIL[:4])
+            await late.wait()
+            writer.write(TAIL[4:])
+            return True
+
+        async with ResumingSetup(ends_late, whole()) as setup:
+            setup.send("long")
+            assert await setup.read_value() == VALUE
+            setup.send("behind")
+            assert await setup.read(len(SHORT)) == SHORT
+            await asyncio.sleep(0.5)
+            late.set()
+            await setup.until_idle()
+            assert len(setup.plan.attempts) == 1
+            assert not setup.router.pool.counters.abandoned
+
+    run(test)
+
+
 def test_a_client_that_leaves_while_its_value_is_read_again_ends_that_attempt() -> None:
     async def test() -> None:
         never = asyncio.Event()
